--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# Tasks of pewterrudder. `make` builds both programs.
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+# -race is left out: it needs cgo, which not every machine has.
+test:
+	go test ./...
+
+lint:
+	@bad=$$(gofmt -l .); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
+	go vet ./...
+
+# RELAY_CONFIG names the configuration file.
+run: build
+	bin/pewterrudder
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,6 +1,6 @@
 package brain
 
-// The decisions of mallowpick. The types are in brain/api.go. Parts, in reading order:
+// The decisions of pewterrudder. The types are in brain/api.go. Parts, in reading order:
 //
 //	tunables          every constant, with unit and reason
 //	node              state of one node, constructor, dispatch of events
--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"mallowpick/brain"
+	"pewterrudder/brain"
 )
 
 // An embedder hands in timed events and carries out the actions that come back.
--- /dev/null
+++ b/cmd/pewterrudder/main.go
@@ -0,0 +1,127 @@
+// Command pewterrudder is one real balancer. This file owns the wiring, the clock and the goroutine that
+// drives the reducer and carries out its effects; it must never decide anything itself.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"pewterrudder/internal/acceptor"
+	"pewterrudder/internal/config"
+	"pewterrudder/internal/delegation"
+	"pewterrudder/internal/reducer"
+	"pewterrudder/internal/registry"
+)
+
+const (
+	// clockStart keeps the node's clock away from 0, which means "long ago" in lists, and lets app nodes
+	// that started before this process have a moment above 0.
+	clockStart = 24 * time.Hour
+	// memoryShare of the limit is the collector's goal; the rest is for stacks, sockets' buffers and code.
+	memoryShare = 0.6
+	backlog     = 4096 // events under way to the reducer
+)
+
+func main() {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	log.SetOutput(os.Stderr)
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "pewterrudder:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(400)
+
+	begin := time.Now()
+	now := func() time.Duration { return clockStart + time.Since(begin) }
+	started := func(ms float64) time.Duration { return clockStart + config.FromMs(ms-unixMs(begin)) }
+	var known reducer.List
+	if len(cfg.Known) > 0 {
+		if known, err = registry.Decode(cfg.Known, started); err != nil {
+			log.Printf("known: %v", err) // an old list with a flaw is no reason to stay down
+		}
+	}
+	clientBudget, delegationBudget := cfg.Limits.Budget()
+	state, err := reducer.New(cfg.Brain, cfg.Prng, delegationBudget)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	events := make(chan reducer.Event, backlog)
+	post := func(ev reducer.Event) { events <- ev }
+	classes, tenants := cfg.Settings.Names()
+	front := acceptor.New(now, post, classes, tenants, clientBudget)
+	nodes := delegation.New(post, cfg.Settings.Stats.Columns)
+	list := registry.New(cfg.Discovery, post, func(text string) { log.Print(text) }, started)
+
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		var effects []reducer.Effect
+		for ev := range events {
+			effects = state.Handle(now(), ev, effects[:0])
+			for _, e := range effects {
+				switch e := e.(type) {
+				case reducer.Answer:
+					front.Answer(e.Call, e.Reply)
+				case reducer.Exchange:
+					nodes.Exchange(e)
+				case reducer.Dial:
+					nodes.Dial(e)
+				case reducer.Close:
+					nodes.Close(e)
+				case reducer.Watch:
+					list.Watch(e.Since)
+				case reducer.Arm:
+					time.AfterFunc(e.After, func() { post(e.Event) })
+				case reducer.Ready:
+					front.Ready()
+				case reducer.Log:
+					log.Print(e.Text)
+				}
+			}
+			clear(effects)
+		}
+	}()
+	post(reducer.Started{Known: known})
+
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener) }()
+	select {
+	case err := <-served:
+		if err == nil {
+			err = errors.New("the listener has ended")
+		}
+		return err
+	case <-term:
+		log.Print("draining")
+		longest := time.Duration(0)
+		for _, c := range cfg.Brain.Classes {
+			longest = max(longest, c.Deadline)
+		}
+		front.Drain(longest)
+		log.Print("drained")
+		return nil
+	}
+}
+
+func unixMs(t time.Time) float64 { return float64(t.UnixNano()) / 1e6 }
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"runtime/debug"
 
-	"mallowpick/internal/wire"
+	"pewterrudder/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/acceptor/acceptor.go
@@ -0,0 +1,294 @@
+// Package acceptor owns the clients' side: the listening socket, the clients' connections, reading calls and
+// writing final answers, readiness and the drain before an end. Each call becomes one Arrived event, and its
+// RoundTripper waits for the one Answer. It must never choose a server, repeat a call, or make up an answer
+// to a call that the reducer has taken.
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pewterrudder/internal/delegation"
+	"pewterrudder/internal/reducer"
+)
+
+const (
+	headerPatience = 5 * time.Second // a client that takes longer over a header is no client of ours
+	maxHeader      = 16 << 10
+	// DrainFor is how long connections are still accepted after the signal to end: the front goes on sending
+	// new ones for up to 0.4 s, and a request that came within 0.7 s must be answered.
+	DrainFor = 900 * time.Millisecond
+)
+
+// Acceptor serves clients.
+type Acceptor struct {
+	now     func() time.Duration
+	post    func(reducer.Event)
+	classes map[string]int
+	tenants map[string]int
+	server  *http.Server
+	conns   *clients
+
+	ready, draining atomic.Bool
+	lastCall        atomic.Uint64
+	mu              sync.Mutex
+	waiting         map[uint64]chan reducer.Reply
+}
+
+// New makes an acceptor that holds at most budget connections.
+func New(now func() time.Duration, post func(reducer.Event), classes, tenants map[string]int, budget int) *Acceptor {
+	a := &Acceptor{now: now, post: post, classes: classes, tenants: tenants, conns: newClients(budget),
+		waiting: map[uint64]chan reducer.Reply{}}
+	proxy := &httputil.ReverseProxy{
+		Rewrite: func(p *httputil.ProxyRequest) {
+			p.Out.URL.RawQuery = p.In.URL.RawQuery // undo the clean-up: a call passes on as it is
+		},
+		Transport:    a,
+		ErrorHandler: a.broken,
+		BufferPool:   &pool{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health/ready", a.health)
+	a.server = &http.Server{
+		// Not through the mux, which redirects paths that it would write otherwise.
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if a.draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			if r.URL.Path == "/health/ready" {
+				mux.ServeHTTP(w, r)
+				return
+			}
+			proxy.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headerPatience, MaxHeaderBytes: maxHeader, ConnState: a.conns.changed,
+		ErrorLog: log.New(log.Writer(), "acceptor: ", 0),
+	}
+	return a
+}
+
+// Serve accepts clients until Drain.
+func (a *Acceptor) Serve(l net.Listener) error {
+	if err := a.server.Serve(a.conns.limit(l)); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ready lets the front in.
+func (a *Acceptor) Ready() { a.ready.Store(true) }
+
+// Drain ends the service: every answer from now on closes its connection, new connections are taken for a
+// while yet, and then all that was taken is finished.
+func (a *Acceptor) Drain(patience time.Duration) {
+	a.draining.Store(true)
+	time.Sleep(DrainFor)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	a.server.Shutdown(ctx)
+}
+
+func (a *Acceptor) health(w http.ResponseWriter, r *http.Request) {
+	if !a.ready.Load() || a.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+// Answer hands a call its final answer.
+func (a *Acceptor) Answer(id uint64, reply reducer.Reply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if to := a.waiting[id]; to != nil {
+		to <- reply // has room for the one answer of a call
+		delete(a.waiting, id)
+	}
+}
+
+// RoundTrip reads a call whole, hands it to the reducer and waits for the final answer.
+func (a *Acceptor) RoundTrip(r *http.Request) (*http.Response, error) {
+	call, err := a.read(r)
+	if err != nil {
+		return nil, err
+	}
+	to := make(chan reducer.Reply, 1)
+	a.mu.Lock()
+	a.waiting[call.ID] = to
+	a.mu.Unlock()
+	a.post(reducer.Arrived{Call: call})
+	select {
+	case reply := <-to:
+		return &http.Response{StatusCode: reply.Status, Header: reply.Header, Request: r,
+			Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+			Body: io.NopCloser(bytes.NewReader(reply.Body)), ContentLength: int64(len(reply.Body))}, nil
+	case <-r.Context().Done():
+		a.mu.Lock()
+		delete(a.waiting, call.ID)
+		a.mu.Unlock()
+		a.post(reducer.ClientGone{Call: call.ID})
+		return nil, errGone
+	}
+}
+
+var errGone = errors.New("the client has left")
+
+// refused is an answer to what cannot become a call.
+type refused struct {
+	status int
+	text   string
+}
+
+func (e *refused) Error() string { return e.text }
+
+// broken answers what did not become a call.
+func (a *Acceptor) broken(w http.ResponseWriter, r *http.Request, err error) {
+	var bad *refused
+	if errors.As(err, &bad) {
+		http.Error(w, bad.text, bad.status)
+		return
+	}
+	w.Header().Set("Connection", "close") // nobody is there to read it
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// read checks a request and reads its body. What fails here never goes to an app node.
+func (a *Acceptor) read(r *http.Request) (*reducer.Call, error) {
+	came := a.now()
+	bad := func(text string) (*reducer.Call, error) { return nil, &refused{http.StatusBadRequest, text} }
+	if r.Header.Get("X-Request-Id") == "" {
+		return bad("X-Request-Id is missing")
+	}
+	class, ok := a.classes[r.Header.Get("X-Class")]
+	if !ok {
+		return bad("X-Class is missing or unknown")
+	}
+	wait, ok := duration(r.Header.Get("X-Deadline"))
+	if !ok {
+		return bad("X-Deadline is missing or malformed")
+	}
+	tenant, ok := a.tenants[r.Header.Get("X-Tenant")]
+	if !ok {
+		tenant = -1
+	}
+	var body []byte
+	if r.Body != nil {
+		var err error
+		if body, err = io.ReadAll(io.LimitReader(r.Body, delegation.MaxBody+1)); err != nil {
+			return nil, errGone
+		}
+		if len(body) > delegation.MaxBody {
+			return nil, &refused{http.StatusRequestEntityTooLarge, "the body is over the limit"}
+		}
+	}
+	work, _ := duration(r.Header.Get("X-Cost-Hint"))
+	return &reducer.Call{ID: a.lastCall.Add(1), Class: class, Tenant: tenant, Retry: r.Header.Get("X-Retry") == "1",
+		Key: r.URL.Query().Get("key"), Work: float64(work) / float64(time.Millisecond), Deadline: came + wait,
+		Request: r, Body: body}, nil
+}
+
+// duration reads a number and its unit: m for milliseconds, which is also meant where there is none, or u for
+// microseconds.
+func duration(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	if s, ok := strings.CutSuffix(text, "u"); ok {
+		text, unit = s, time.Microsecond
+	} else {
+		text = strings.TrimSuffix(text, "m")
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= 0 && v < 1e10) { // NaN fails both
+		return 0, false
+	}
+	return time.Duration(v * float64(unit)), true
+}
+
+// pool lends the proxy its copy buffers.
+type pool struct{ p sync.Pool }
+
+func (p *pool) Get() []byte {
+	if b, ok := p.p.Get().(*[]byte); ok {
+		return *b
+	}
+	return make([]byte, 16<<10)
+}
+
+func (p *pool) Put(b []byte) { p.p.Put(&b) }
+
+// clients counts the clients' connections against the descriptor budget. When it is used up, the one that has
+// been idle for the longest makes room: a client whose next request crosses that close sends it again.
+type clients struct {
+	budget int
+	mu     sync.Mutex
+	freed  *sync.Cond
+	open   int
+	order  uint64
+	idle   map[net.Conn]uint64
+}
+
+func newClients(budget int) *clients {
+	c := &clients{budget: budget, idle: map[net.Conn]uint64{}}
+	c.freed = sync.NewCond(&c.mu)
+	return c
+}
+
+func (c *clients) changed(nc net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		c.open++
+	case http.StateIdle:
+		c.order++
+		c.idle[nc] = c.order
+		c.freed.Signal()
+	case http.StateActive:
+		delete(c.idle, nc)
+	case http.StateClosed, http.StateHijacked:
+		delete(c.idle, nc)
+		c.open--
+		c.freed.Signal()
+	}
+}
+
+// room waits until one more connection may be open.
+func (c *clients) room() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.open >= c.budget {
+		var oldest net.Conn
+		for nc, order := range c.idle {
+			if oldest == nil || order < c.idle[oldest] {
+				oldest = nc
+			}
+		}
+		if oldest != nil {
+			delete(c.idle, oldest)
+			oldest.Close() // its server goroutine tells of the end
+		}
+		c.freed.Wait()
+	}
+}
+
+type limited struct {
+	net.Listener
+	clients *clients
+}
+
+func (c *clients) limit(l net.Listener) net.Listener { return &limited{l, c} }
+
+func (l *limited) Accept() (net.Conn, error) {
+	l.clients.room()
+	return l.Listener.Accept()
+}
--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,641 @@
+// Package reducer owns every state of a balancer: the node that decides, each call with its delegations, and
+// each connection to an app node. All changes go through Handle, which takes one event and names the effects
+// that follow; one goroutine drives it. It must never touch a socket, a clock or a lock, and never block.
+//
+// A connection is dialing, busy, idle or closed. It is opened by a Dial effect and given back by a Close
+// effect and nowhere else: once Close is asked for, its id means nothing any more and late events about it
+// are passed over. A call gets one Answer effect, the first; ids of calls are never used twice.
+package reducer
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"pewterrudder/brain"
+)
+
+// Tunables.
+const (
+	// answerMargin is how long before the client's deadline a call is answered at the latest: the client
+	// counted from its sending, which is earlier than our reading, and the answer has to travel back.
+	answerMargin = 12 * time.Millisecond
+	// idleMargin is how long before the app node's idle limit a connection is no longer used: the app node
+	// counts from the moment it wrote, and a request under way when it closes would end as a reset.
+	idleMargin = 500 * time.Millisecond
+	// sweepEvery is how often idle connections are looked through for old ones.
+	sweepEvery = time.Second
+	// watchAgain is the pause before a broken watch is opened again where the node does not ask by itself.
+	watchAgain = time.Second
+)
+
+// Call is a client's request as the acceptor read it.
+type Call struct {
+	ID       uint64
+	Class    int
+	Tenant   int
+	Retry    bool
+	Key      string
+	Work     float64
+	Deadline time.Duration // when the client leaves, on the node's clock
+
+	Request *http.Request // method, target and header as they go to an app node
+	Body    []byte
+}
+
+// Reply is an app node's whole answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Event is one of the structs below.
+type Event interface{ event() }
+
+type (
+	// Started opens the day with the list as it was last held.
+	Started struct{ Known List }
+	// Arrived: a call was read whole.
+	Arrived struct{ Call *Call }
+	// ClientGone: the client's connection ended before the answer.
+	ClientGone struct{ Call uint64 }
+	// Dialed: a connection was made, or not.
+	Dialed struct {
+		Conn uint64
+		Err  error
+	}
+	// Exchanged: the one end of an Exchange.
+	Exchanged struct {
+		Conn    uint64
+		Written Written
+		Reply   *Reply    // nil: the connection broke
+		Report  []float64 // the load report, if any
+		Shed    bool      // the app node says that it never ran
+		Reuse   bool      // the connection can carry another call
+		Err     error
+	}
+	// Lost: an idle connection was closed by the app node.
+	Lost struct{ Conn uint64 }
+	// Listed: discovery wrote a list or changes to it.
+	Listed struct{ List List }
+	// WatchEnded: the watch broke or could not be opened.
+	WatchEnded struct{ Err error }
+
+	timer    struct{ cookie uint64 }
+	deadline struct{ call uint64 }
+	sweep    struct{}
+	rewatch  struct{}
+)
+
+// Written says how far a request came.
+type Written uint8
+
+const (
+	Nothing Written = iota // the connection had ended before
+	Partly                 // it broke before the last byte: the request cannot run
+	Whole                  // it may have run
+)
+
+// List is discovery's word in the node's terms.
+type List struct {
+	Revision  int64
+	Complete  bool
+	Members   []brain.Member
+	Addresses []string // by member
+}
+
+// Effect is one of the structs below, to be carried out in order.
+type Effect interface{ effect() }
+
+type (
+	// Answer is the final answer of a call.
+	Answer struct {
+		Call  uint64
+		Reply Reply
+	}
+	// Dial opens a connection; Dialed follows.
+	Dial struct {
+		Conn    uint64
+		Address string
+		Timeout time.Duration
+	}
+	// Exchange writes a call on an idle connection and reads the answer; Exchanged follows, unless Close
+	// comes first.
+	Exchange struct {
+		Conn uint64
+		Call *Call
+		Wait time.Duration
+	}
+	// Close gives a connection back.
+	Close struct{ Conn uint64 }
+	// Watch opens a watch on the list from a version on, in place of any earlier one.
+	Watch struct{ Since int64 }
+	// Arm returns the event after a while.
+	Arm struct {
+		After time.Duration
+		Event Event
+	}
+	// Ready: the balancer can serve.
+	Ready struct{}
+	// Log is a line for the operator.
+	Log struct{ Text string }
+)
+
+type connState uint8
+
+const (
+	dialing connState = iota
+	busy
+	idle
+	closed
+)
+
+type conn struct {
+	id        uint64
+	srv       *server
+	state     connState
+	doomed    bool // the app node has moved: close at the end of the dial or call
+	delg      *delegation
+	idleSince time.Duration
+}
+
+type server struct {
+	id, address string
+	idle        []*conn // latest used last
+	conns       map[uint64]*conn
+}
+
+type delegation struct {
+	call    *call
+	attempt int
+	srv     *server
+	conn    *conn
+	sent    time.Duration
+	over    bool
+}
+
+type call struct {
+	*Call
+	brainID     string
+	delegations []*delegation
+	out         int
+	done        bool
+}
+
+// Reducer is the whole state. Make it with New.
+type Reducer struct {
+	cfg     brain.Settings
+	node    *brain.Node
+	now     time.Duration
+	out     []Effect
+	acts    []brain.Action
+	pending []brain.Event // for the node, from the actions just carried out
+
+	calls    map[uint64]*call
+	byBrain  map[string]*call
+	servers  map[string]*server
+	conns    map[uint64]*conn
+	lastConn uint64
+	budget   int // connections to app nodes, all told
+
+	revision          int64
+	sweeping, readied bool
+}
+
+// New makes the state of a balancer that may hold budget connections to app nodes.
+func New(cfg brain.Settings, seed uint64, budget int) (*Reducer, error) {
+	node, err := brain.New(cfg, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Reducer{cfg: cfg, node: node, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
+		servers: map[string]*server{}, conns: map[uint64]*conn{}}, nil
+}
+
+// Open is the number of calls that are owed an answer or have a delegation out.
+func (r *Reducer) Open() int { return len(r.calls) }
+
+// Handle takes one event at a moment of the node's clock and appends the effects.
+func (r *Reducer) Handle(now time.Duration, ev Event, effects []Effect) []Effect {
+	r.now, r.out = now, effects
+	switch e := ev.(type) {
+	case Started:
+		r.onList(e.Known, brain.UpdateRestored)
+		if !r.cfg.AskDiscovery {
+			r.emit(Watch{r.revision})
+		}
+	case Arrived:
+		r.onArrived(e.Call)
+	case ClientGone:
+		if c := r.calls[e.Call]; c != nil && !c.done {
+			r.over(c)
+			r.tell(&brain.ClientGone{ID: c.brainID})
+			r.forget(c)
+		}
+	case Dialed:
+		r.onDialed(e)
+	case Exchanged:
+		r.onExchanged(e)
+	case Lost:
+		if c := r.conns[e.Conn]; c != nil && c.state == idle {
+			r.close(c) // a busy one ends with its Exchanged
+		}
+	case Listed:
+		r.onListed(e.List)
+	case WatchEnded:
+		r.emit(Log{"registry: watch ended: " + e.Err.Error()})
+		if r.cfg.AskDiscovery {
+			r.tell(&brain.FleetUpdate{Kind: brain.UpdateAskFailed})
+		} else {
+			r.emit(Arm{watchAgain, rewatch{}})
+		}
+	case timer:
+		r.tell(&brain.TimerFired{Cookie: e.cookie})
+	case deadline:
+		r.onDeadline(e.call)
+	case sweep:
+		r.onSweep()
+	case rewatch:
+		r.emit(Watch{r.revision})
+	}
+	effects, r.out = r.out, nil
+	return effects
+}
+
+func (r *Reducer) emit(e Effect) { r.out = append(r.out, e) }
+
+// tell hands the node an event, carries out what it asks for, and goes on with what that brings about.
+func (r *Reducer) tell(ev brain.Event) {
+	r.pending = append(r.pending, ev)
+	if len(r.pending) > 1 {
+		return // the loop below, further up the stack, takes it in turn
+	}
+	for i := 0; i < len(r.pending); i++ {
+		acts := r.node.Handle(r.now, r.pending[i], r.acts[:0])
+		r.acts = acts
+		for j := range acts {
+			r.act(&acts[j])
+		}
+	}
+	r.pending = r.pending[:0]
+}
+
+func (r *Reducer) act(a *brain.Action) {
+	switch a.Kind {
+	case brain.Send:
+		r.send(r.byBrain[a.ID], a)
+	case brain.Cancel:
+		if c := r.byBrain[a.ID]; c != nil && a.Attempt < len(c.delegations) {
+			if d := c.delegations[a.Attempt]; !d.over {
+				r.abandon(d)
+				r.end(d, brain.Cancelled, nil)
+			}
+		}
+	case brain.Refuse:
+		r.answer(r.byBrain[a.ID], overloadReply(a.After))
+	case brain.Fail:
+		r.answer(r.byBrain[a.ID], failure())
+	case brain.SetTimer:
+		r.emit(Arm{a.After, timer{a.Cookie}})
+	case brain.CloseIdle:
+		if s := r.servers[a.Server]; s != nil {
+			for len(s.idle) > 0 {
+				r.close(s.idle[0])
+			}
+		}
+	case brain.Subscribe:
+		r.emit(Watch{r.revision})
+	case brain.Note:
+		r.emit(Log{"node: " + a.Text})
+	case brain.Probe: // no platform of ours permits it; the settings keep the node from asking
+		r.tell(&brain.ProbeEnded{Server: a.Server, Outcome: brain.NeverSent})
+	}
+}
+
+// ---- calls ----
+
+func (r *Reducer) onArrived(in *Call) {
+	// The node knows calls by numbers of ours: a client that sends the same id again, as it may after a
+	// closed connection, must not meet what is left of the first.
+	c := &call{Call: in, brainID: strconv.FormatUint(in.ID, 10)}
+	r.calls[in.ID], r.byBrain[c.brainID] = c, c
+	c.Deadline -= answerMargin
+	if c.Deadline <= r.now {
+		r.answer(c, failure())
+		r.forget(c)
+		return
+	}
+	r.emit(Arm{c.Deadline - r.now, deadline{c.ID}})
+	r.tell(&brain.Request{ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
+		Work: c.Work, Deadline: c.Deadline})
+}
+
+// onDeadline ends what is out, as the node expects at the deadline, and answers even if the node does not.
+func (r *Reducer) onDeadline(id uint64) {
+	c := r.calls[id]
+	if c == nil {
+		return
+	}
+	for _, d := range c.delegations {
+		if !d.over {
+			r.abandon(d)
+			r.end(d, brain.TimedOut, nil)
+		}
+	}
+	if !c.done { // held by the node, or forgotten
+		r.answer(c, failure())
+		r.tell(&brain.ClientGone{ID: c.brainID})
+	}
+	r.forget(c)
+}
+
+// answer gives the final answer; the first wins.
+func (r *Reducer) answer(c *call, reply Reply) {
+	if c == nil || c.done {
+		return
+	}
+	r.over(c)
+	r.emit(Answer{c.ID, reply})
+	r.forget(c)
+}
+
+func (r *Reducer) over(c *call) { c.done = true }
+
+func (r *Reducer) forget(c *call) {
+	if c.done && c.out == 0 {
+		delete(r.calls, c.ID)
+		delete(r.byBrain, c.brainID)
+	}
+}
+
+// overloadReply is a refusal: trying again is harmless, after the stated time.
+func overloadReply(after time.Duration) Reply {
+	h := http.Header{}
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	return Reply{Status: http.StatusServiceUnavailable, Header: h, Body: []byte("overloaded\n")}
+}
+
+func failure() Reply {
+	return Reply{Status: http.StatusBadGateway, Header: http.Header{}, Body: []byte("failed\n")}
+}
+
+// ---- delegations ----
+
+func (r *Reducer) send(c *call, a *brain.Action) {
+	if c == nil {
+		return
+	}
+	d := &delegation{call: c, attempt: len(c.delegations), srv: r.servers[a.Server], sent: r.now}
+	c.delegations = append(c.delegations, d)
+	c.out++
+	if c.done || d.srv == nil || d.attempt >= r.cfg.MaxAttempts {
+		r.end(d, brain.NeverSent, nil)
+		return
+	}
+	r.place(d)
+}
+
+// place puts a delegation on the latest-used idle connection, or on a new one.
+func (r *Reducer) place(d *delegation) {
+	if d.call.done { // over while the connection was being made
+		r.end(d, brain.NeverSent, nil)
+		return
+	}
+	for n := len(d.srv.idle); n > 0; n = len(d.srv.idle) {
+		k := d.srv.idle[n-1]
+		if r.now-k.idleSince >= r.idleFor() {
+			r.close(k)
+			continue
+		}
+		d.srv.idle = d.srv.idle[:n-1]
+		r.exchange(k, d)
+		return
+	}
+	if len(r.conns) >= r.budget && !r.closeOldest() {
+		r.emit(Log{"delegation: every connection of the descriptor budget is in use"})
+		r.end(d, brain.ConnectFailed, nil)
+		return
+	}
+	r.lastConn++
+	k := &conn{id: r.lastConn, srv: d.srv, state: dialing, delg: d}
+	d.conn = k
+	r.conns[k.id], d.srv.conns[k.id] = k, k
+	r.emit(Dial{k.id, d.srv.address, r.cfg.ConnectTimeout})
+}
+
+func (r *Reducer) exchange(k *conn, d *delegation) {
+	k.state, k.delg, d.conn = busy, d, k
+	r.emit(Exchange{k.id, d.call.Call, d.call.Deadline - r.now})
+}
+
+// abandon gives a delegation up: the app node sees its connection close. A dial goes on, for the pool.
+func (r *Reducer) abandon(d *delegation) {
+	if k := d.conn; k != nil {
+		if k.state == busy {
+			r.close(k)
+		}
+		k.delg, d.conn = nil, nil
+	}
+}
+
+// end tells the node of the one end of a delegation.
+func (r *Reducer) end(d *delegation, o brain.Outcome, report []float64) {
+	c := d.call
+	d.over = true
+	c.out--
+	r.tell(&brain.AttemptEnded{ID: c.brainID, Attempt: d.attempt, Server: d.srv.id, Outcome: o,
+		Took: r.now - d.sent, Final: c.done, Report: report})
+	r.forget(c)
+}
+
+// ---- connections ----
+
+func (r *Reducer) onDialed(e Dialed) {
+	k := r.conns[e.Conn]
+	if k == nil || k.state != dialing {
+		return
+	}
+	d := k.delg
+	switch {
+	case e.Err != nil:
+		r.close(k)
+		if d != nil {
+			d.conn = nil
+			r.end(d, brain.ConnectFailed, nil)
+		}
+	case k.doomed:
+		r.close(k)
+		if d != nil {
+			r.place(d) // at the new address
+		}
+	case d != nil:
+		r.exchange(k, d)
+	default:
+		r.rest(k)
+	}
+}
+
+func (r *Reducer) onExchanged(e Exchanged) {
+	k := r.conns[e.Conn]
+	if k == nil || k.state != busy {
+		return
+	}
+	d := k.delg
+	k.delg, d.conn = nil, nil
+	if e.Reply != nil && e.Reuse && e.Written == Whole {
+		r.rest(k)
+	} else {
+		r.close(k)
+	}
+	switch {
+	case e.Reply == nil && e.Written == Nothing:
+		// The app node closed an idle connection just before: no byte was sent, so this was no attempt.
+		r.place(d)
+	case e.Reply == nil && e.Written == Partly:
+		r.end(d, brain.ConnectFailed, nil)
+	case e.Reply == nil:
+		r.end(d, brain.Dropped, nil)
+	case e.Reply.Status == http.StatusOK:
+		r.answer(d.call, *e.Reply)
+		r.end(d, brain.OK, e.Report)
+	case e.Shed:
+		r.end(d, brain.Shed, e.Report)
+	default:
+		r.end(d, brain.AppError, e.Report)
+	}
+}
+
+// rest puts a connection among the idle ones.
+func (r *Reducer) rest(k *conn) {
+	if k.doomed {
+		r.close(k)
+		return
+	}
+	k.state, k.idleSince, k.delg = idle, r.now, nil
+	k.srv.idle = append(k.srv.idle, k)
+	r.armSweep()
+}
+
+// close is the one place where a connection is given back.
+func (r *Reducer) close(k *conn) {
+	if k.state == idle {
+		for i, o := range k.srv.idle {
+			if o == k {
+				k.srv.idle = append(k.srv.idle[:i], k.srv.idle[i+1:]...)
+				break
+			}
+		}
+	}
+	k.state = closed
+	delete(r.conns, k.id)
+	delete(k.srv.conns, k.id)
+	r.emit(Close{k.id})
+}
+
+// closeOldest makes room under the descriptor budget.
+func (r *Reducer) closeOldest() bool {
+	var oldest *conn
+	for _, k := range r.conns {
+		if k.state == idle && (oldest == nil || k.idleSince < oldest.idleSince ||
+			k.idleSince == oldest.idleSince && k.id < oldest.id) {
+			oldest = k
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	r.close(oldest)
+	return true
+}
+
+// idleFor is how long an idle connection is worth keeping.
+func (r *Reducer) idleFor() time.Duration {
+	return r.cfg.IdleClose - min(idleMargin, r.cfg.IdleClose/4)
+}
+
+func (r *Reducer) armSweep() {
+	if !r.sweeping {
+		r.sweeping = true
+		r.emit(Arm{min(sweepEvery, r.idleFor()), sweep{}})
+	}
+}
+
+func (r *Reducer) onSweep() {
+	r.sweeping = false
+	left := false
+	for _, s := range r.servers {
+		for len(s.idle) > 0 && r.now-s.idle[0].idleSince >= r.idleFor() {
+			r.close(s.idle[0])
+		}
+		left = left || len(s.idle) > 0
+	}
+	if left {
+		r.armSweep()
+	}
+}
+
+// ---- registry ----
+
+func (r *Reducer) onListed(l List) {
+	kind := brain.UpdateChanges
+	if l.Complete {
+		kind = brain.UpdateFull
+	}
+	r.onList(l, kind)
+}
+
+func (r *Reducer) onList(l List, kind brain.UpdateKind) {
+	r.revision = max(r.revision, l.Revision)
+	ready := false
+	for i := range l.Members {
+		m := &l.Members[i]
+		ready = ready || m.State == brain.Ready
+		s := r.servers[m.Server]
+		if s == nil {
+			s = &server{id: m.Server, conns: map[uint64]*conn{}}
+			r.servers[m.Server] = s
+		}
+		// What is open to an old address leads to another machine, or nowhere. An entry that says Gone may
+		// come without an address.
+		if l.Addresses[i] != "" && l.Addresses[i] != s.address {
+			s.address = l.Addresses[i]
+			for _, k := range s.conns {
+				k.doomed = true
+			}
+		}
+		for m.State == brain.Gone && len(s.idle) > 0 || len(s.idle) > 0 && s.idle[0].doomed {
+			r.close(s.idle[0])
+		}
+	}
+	r.tell(&brain.FleetUpdate{Kind: kind, Members: l.Members})
+	// Without a server every call would only be held, so readiness waits for one.
+	if !r.readied && ready {
+		r.readied = true
+		r.emit(Ready{})
+	}
+}
+
+func (Started) event()    {}
+func (Arrived) event()    {}
+func (ClientGone) event() {}
+func (Dialed) event()     {}
+func (Exchanged) event()  {}
+func (Lost) event()       {}
+func (Listed) event()     {}
+func (WatchEnded) event() {}
+func (timer) event()      {}
+func (deadline) event()   {}
+func (sweep) event()      {}
+func (rewatch) event()    {}
+
+func (Answer) effect()   {}
+func (Dial) effect()     {}
+func (Exchange) effect() {}
+func (Close) effect()    {}
+func (Watch) effect()    {}
+func (Arm) effect()      {}
+func (Ready) effect()    {}
+func (Log) effect()      {}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,11 +5,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"strconv"
 	"time"
 
-	"mallowpick/brain"
+	"pewterrudder/brain"
+	"pewterrudder/internal/config"
 )
 
 // Batch is one line of input. Fields that the wire does not define are ignored.
@@ -45,14 +45,16 @@
 	Members []member `json:"members_list"`
 }
 
+// member is a config.Entry under the wire's names.
 type member struct {
-	Server    string  `json:"server"`
-	Az        string  `json:"az"`
-	Flavor    string  `json:"flavor"`
-	UnitGroup int     `json:"unit_group"`
-	Heft      float64 `json:"heft"`
-	Launched  float64 `json:"launched_ms"`
-	Readiness string  `json:"readiness"`
+	Server  string  `json:"server"`
+	Address string  `json:"-"`
+	Zone    string  `json:"az"`
+	Kind    string  `json:"flavor"`
+	Cell    int     `json:"unit_group"`
+	Weight  float64 `json:"heft"`
+	Started float64 `json:"launched_ms"`
+	State   string  `json:"readiness"`
 }
 
 type Inbound struct {
@@ -126,7 +128,7 @@
 	if b.At == nil {
 		return out, fmt.Errorf("batch: at_time_ms is missing")
 	}
-	now := fromMs(*b.At)
+	now := config.FromMs(*b.At)
 	out = append(out, `{"nodes":[`...)
 	first := true
 	for k := range b.Nodes {
@@ -187,6 +189,27 @@
 	return nil
 }
 
+func newInstance(s *Start) (*instance, error) {
+	if s.Prng == nil {
+		return nil, fmt.Errorf("prng is missing")
+	}
+	c, err := config.ParseSettings(s.Conf)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := c.Brain()
+	if err != nil {
+		return nil, err
+	}
+	node, err := brain.New(cfg, *s.Prng)
+	if err != nil {
+		return nil, fmt.Errorf("conf: %w", err)
+	}
+	inst := &instance{node: node}
+	inst.classes, inst.tenants = c.Names()
+	return inst, nil
+}
+
 // event translates one item; nil for an event that says nothing to a node.
 func (n *instance) event(it *Item) (brain.Event, error) {
 	switch {
@@ -204,23 +227,23 @@
 			tenant = -1
 		}
 		return &brain.Request{ID: e.OpID, Class: class, Tenant: tenant, Retry: e.Retry, Work: e.Expected, Key: e.Key,
-			Deadline: fromMs(e.Deadline)}, nil
+			Deadline: config.FromMs(e.Deadline)}, nil
 	case it.AttemptEnd != nil:
 		e := it.AttemptEnd
 		o, err := outcome(e.Ending)
 		return &brain.AttemptEnded{ID: e.OpID, Attempt: e.Round, Server: e.Server, Outcome: o,
-			Took: fromMs(e.Cost), Final: e.Terminal, Report: e.Metrics}, err
+			Took: config.FromMs(e.Cost), Final: e.Terminal, Report: e.Metrics}, err
 	case it.Wakeup != nil:
 		return &brain.TimerFired{Cookie: it.Wakeup.Cookie}, nil
 	case it.Health != nil:
 		e := it.Health
 		o, err := outcome(e.Ending)
-		return &brain.ProbeEnded{Server: e.Server, Outcome: o, Took: fromMs(e.Cost), Report: e.Metrics}, err
+		return &brain.ProbeEnded{Server: e.Server, Outcome: o, Took: config.FromMs(e.Cost), Report: e.Metrics}, err
 	case it.View != nil:
 		return view(it.View)
 	case it.Begun != nil:
 		e := it.Begun
-		return &brain.StreamBegun{ID: e.OpID, Attempt: e.Round, Server: e.Server, Took: fromMs(e.Cost)}, nil
+		return &brain.StreamBegun{ID: e.OpID, Attempt: e.Round, Server: e.Server, Took: config.FromMs(e.Cost)}, nil
 	case it.Lapsed != nil:
 		return &brain.ClientGone{ID: it.Lapsed.OpID}, nil
 	case it.PeerData != nil:
@@ -244,22 +267,11 @@
 		return nil, fmt.Errorf("view: unknown scope %q", v.Scope)
 	}
 	for i := range v.Members {
-		m := &v.Members[i]
-		var state brain.Readiness
-		switch m.Readiness {
-		case "Ready":
-		case "Terminating":
-			state = brain.Draining
-		case "Gone":
-			state = brain.Gone
-		default:
-			return nil, fmt.Errorf("view: members_list[%d]: unknown readiness %q", i, m.Readiness)
-		}
-		if m.Server == "" {
-			return nil, fmt.Errorf("view: members_list[%d]: server is missing", i)
+		m, err := config.Entry(v.Members[i]).Member(config.FromMs)
+		if err != nil {
+			return nil, fmt.Errorf("view: members_list[%d]: %w", i, err)
 		}
-		u.Members[i] = brain.Member{Server: m.Server, Zone: m.Az, Kind: m.Flavor, Cell: m.UnitGroup,
-			Weight: m.Heft, Started: fromMs(m.Launched), State: state}
+		u.Members[i] = m
 	}
 	return u, nil
 }
@@ -278,8 +290,6 @@
 	return o, nil
 }
 
-func fromMs(ms float64) time.Duration { return time.Duration(math.Round(ms * 1e6)) }
-
 func appendMs(out []byte, d time.Duration) []byte {
 	return strconv.AppendFloat(out, float64(d)/1e6, 'f', -1, 64)
 }
