Read the load reports, which name their fields in the settings' words

Cause: app nodes write 'utilization=0.878,backlog=5.063'; the names table turned the settings' columns into util and queue, so no report was ever understood and the module decided on its own counts alone.

--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -28,27 +28,22 @@
 	maxHead = 16 << 10
 )
 
-// names maps the words of the settings to those of the load report on the sockets.
+// names gives the other word for each of the settings' columns: app nodes were seen to write the settings'
+// own words, and the protocol's example has these. A report that is not understood is a node that decides
+// blind, so either is taken.
 var names = map[string]string{"outstanding": "inflight", "backlog": "queue", "utilization": "util",
 	"recent_ms": "latency_ms", "throughput": "qps", "errors_per_s": "eps"}
 
 // Connections is the set of sockets. Its methods are called by the goroutine that drives the reducer alone.
 type Connections struct {
 	post    func(reducer.Event)
-	columns []string // of a load report, as the sockets name them
+	columns []string // of a load report, as the settings name them
 	conns   map[uint64]*conn
 }
 
 // New makes an empty set; post takes the events, columns are the settings' names of a report's values.
 func New(post func(reducer.Event), columns []string) *Connections {
-	c := &Connections{post: post, conns: map[uint64]*conn{}}
-	for _, name := range columns {
-		if word, ok := names[name]; ok {
-			name = word
-		}
-		c.columns = append(c.columns, name)
-	}
-	return c
+	return &Connections{post: post, columns: columns, conns: map[uint64]*conn{}}
 }
 
 // conn is one socket. nc is set before Dialed is posted and never after.
@@ -237,7 +232,7 @@
 		found := false
 		for field := range strings.SplitSeq(text, ",") {
 			name, value, _ := strings.Cut(field, "=")
-			if strings.TrimSpace(name) != column {
+			if name = strings.TrimSpace(name); name != column && name != names[column] {
 				continue
 			}
 			v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
