Let no old report lock a server out, and give up at once what is worth nothing

Cause: reportBinds, 6 s. Only an answer brings the next report, so a server that once told of a queue got nothing for 6 s though the queue was gone in a fraction of one. Parked requests: a repeat that nobody may be sent was held until shortly before its deadline, and one with no server usable likewise though late answers are worth nothing here. Both now get their final answer at once and at the aim, a refusal with its Retry-After.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -69,7 +69,7 @@
 	fitRate   = 0.03 // weight of one answer in the fit of time to load figure
 	fitPrior  = 0.05 // pull of that fit towards plain proportion, in squared mean loads
 
-	reportBinds = 6 * time.Second        // a report older than this refuses nobody while nothing is out
+	reportBinds = 100 * time.Millisecond // a report older than this refuses nobody while nothing is out
 	reportFresh = 500 * time.Millisecond // so young a report is believed against own answers since
 
 	idleHeld = 0.8 // requests held per size up to which nobody waits: never too busy
@@ -115,7 +115,8 @@
 
 type request struct {
 	Request
-	out                    int // attempts out
+	until                  time.Duration // when an answer stops being worth anything
+	out                    int           // attempts out
 	attempts               []attempt
 	done, parked, streamed bool // nothing owed any more; held for want of a server; the answer has begun
 }
@@ -733,6 +734,13 @@
 	return true
 }
 
+// anyLeft: is there a server that may be sent this request now or later, if it finds room?
+func (n *Node) anyLeft(r *request) bool {
+	return slices.ContainsFunc(n.fleet, func(s *server) bool {
+		return s.State == Ready && n.mayRepeatAt(r, s)
+	})
+}
+
 func (r *request) mayHaveRun() bool {
 	for i := range r.attempts {
 		if !r.attempts[i].over || r.attempts[i].ran {
@@ -779,7 +787,10 @@
 	if e.Tenant >= 0 && e.Tenant < len(n.tenants) {
 		n.tenants[e.Tenant]++
 	}
-	r := &request{Request: *e}
+	r := &request{Request: *e, until: e.Deadline}
+	if c := &n.classes[e.Class]; c.Late <= 0 { // a late answer is worth nothing: let the client ask again
+		r.until = min(r.until, n.now+c.Aim)
+	}
 	n.reqs[e.ID] = r
 	n.repeats = min(n.repeats+repeatBudget, budgetBurst)
 	n.retries = min(n.retries+retryBudget, budgetBurst)
@@ -802,6 +813,8 @@
 		n.send(r, s)
 	case n.crowded && n.mayRefuse(r): // load shedding: refused early
 		n.refuse(r)
+	case len(r.attempts) > 0 && !n.anyLeft(r): // holding it would only delay the final answer
+		n.giveUp(r)
 	default:
 		n.park(r)
 	}
@@ -873,7 +886,7 @@
 		budget = &n.repeats
 	}
 	c := &n.classes[r.Class]
-	if *budget < 1 || n.now+seconds(c.mean/2) > r.Deadline || ran && c.Repeat == Unsafe {
+	if *budget < 1 || n.now+seconds(c.mean/2) > r.until || ran && c.Repeat == Unsafe {
 		n.giveUp(r)
 		return
 	}
@@ -945,7 +958,7 @@
 			continue
 		}
 		wait := max(seconds(n.classes[r.Class].mean/2), answerMargin+parkedEvery)
-		if n.now > r.Deadline-wait {
+		if n.now > r.until-wait {
 			n.giveUp(r)
 			continue
 		}
--- a/brain/failures_test.go
+++ b/brain/failures_test.go
@@ -354,3 +354,67 @@
 		}
 	}
 }
+
+// A report of a long queue locked its server out for 6 s, since only an answer brings the next report and
+// nothing was sent: on an overload day 72% were refused while servers stood idle.
+func TestAnOldReportLocksNobodyOut(t *testing.T) {
+	cfg := testSettings()
+	cfg.Columns = []Column{ColQueue}
+	b := newBed(cfg, members(1))
+	for range 20 { // learn how time follows load
+		id, _ := b.ask(read)
+		b.now += 50 * ms
+		b.end(id, 0, "s00", OK, 50*ms, 0)
+	}
+	id, _ := b.ask(read)
+	b.now += 50 * ms
+	b.end(id, 0, "s00", OK, 50*ms, 200)
+	if _, acts := b.ask(read); len(only(acts, Refuse)) != 1 {
+		t.Fatalf("a queue of 200 was not believed: %v", acts)
+	}
+	b.now += reportBinds + ms
+	if _, acts := b.ask(read); len(only(acts, Send)) != 1 {
+		t.Fatalf("the old report still binds: %v", acts)
+	}
+}
+
+// What nobody may be sent any more is answered at once: here the only server of the zone that drops repeats
+// has been tried. It was held until just before the deadline.
+func TestARepeatWithNowhereToGoIsNotHeld(t *testing.T) {
+	list := members(2)
+	list[1].Zone = "z2"
+	b := newBed(testSettings(), list)
+	for range 25 { // earn the budget of repeats
+		id, acts := b.ask(read)
+		b.now += 5 * ms
+		b.end(id, 0, only(acts, Send)[0].Server, OK, 5*ms)
+	}
+	id, acts := b.ask(put)
+	server := only(acts, Send)[0].Server
+	b.now += 5 * ms
+	if acts = b.end(id, 0, server, Dropped, 5*ms); len(only(acts, Fail)) != 1 {
+		t.Fatalf("held: %v", acts)
+	}
+}
+
+// A request held for want of a server is refused once an answer could only come too late to be worth
+// anything, not shortly before its deadline.
+func TestAHeldRequestIsRefusedWhenLateAnswersAreWorthNothing(t *testing.T) {
+	cfg := testSettings()
+	cfg.Classes[read].Late, cfg.Classes[read].Aim = 0, 150*ms
+	cfg.RetryAfter, cfg.MaxRetryAfter = true, 500*ms
+	list := members(1)
+	list[0].State = Draining
+	b := newBed(cfg, list)
+	asked := b.now
+	_, acts := b.ask(read)
+	for len(only(acts, Refuse)) == 0 {
+		if b.now += parkedEvery; b.now > asked+150*ms {
+			t.Fatal("still held after the aim")
+		}
+		acts = b.do(&TimerFired{Cookie: cookieParked})
+	}
+	if only(acts, Refuse)[0].After == 0 {
+		t.Error("no word on when to come back")
+	}
+}
