Test acceptor and delegation on loopback sockets

The tests hold what a read of the protocol asks: calls pass on unchanged, what is no call gets 400, each way an exchange can end, drains, the descriptor budget.

--- /dev/null
+++ b/internal/acceptor/acceptor_test.go
@@ -0,0 +1,193 @@
+package acceptor
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pewterrudder/internal/reducer"
+)
+
+// front is an acceptor on a loopback socket, with the test in the reducer's place.
+type front struct {
+	*Acceptor
+	t      *testing.T
+	addr   string
+	events chan reducer.Event
+}
+
+func newFront(t *testing.T, budget int) *front {
+	f := &front{t: t, events: make(chan reducer.Event, 100)}
+	f.Acceptor = New(func() time.Duration { return time.Hour }, func(e reducer.Event) { f.events <- e },
+		map[string]int{"lookup": 0, "booking": 1}, map[string]int{"acme": 0}, budget, time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addr = l.Addr().String()
+	go f.Serve(l)
+	t.Cleanup(func() { f.server.Close() })
+	return f
+}
+
+type client struct {
+	net.Conn
+	*bufio.Reader
+	t *testing.T
+}
+
+func (f *front) dial() *client {
+	f.t.Helper()
+	nc, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(20 * time.Second)) // a hang is a failure
+	return &client{nc, bufio.NewReader(nc), f.t}
+}
+
+func (c *client) send(head, body string) *client {
+	io.WriteString(c, strings.ReplaceAll(head, "\n", "\r\n")+"\r\n"+body)
+	return c
+}
+
+func (c *client) answer() (*http.Response, string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.Reader, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+const lookup = "GET /lookup/a%2Fb//c?q=1;2&key=k%20v&x=%zz HTTP/1.1\nHost: origin.svc\nX-Request-Id: 9b1f\n" +
+	"X-Class: lookup\nX-Tenant: acme\nX-Deadline: 480m\n"
+
+// The proxy would drop what it cannot parse of a query and clean paths; an app node must get what the client sent.
+func TestACallIsPassedOnAsItCame(t *testing.T) {
+	f := newFront(t, 10)
+	c := f.dial()
+	c.send(lookup, "")
+	call := (<-f.events).(reducer.Arrived).Call
+	if call.Request.RequestURI != "/lookup/a%2Fb//c?q=1;2&key=k%20v&x=%zz" || call.Key != "k v" ||
+		call.Deadline != time.Hour+480*time.Millisecond || call.Class != 0 || call.Tenant != 0 {
+		t.Errorf("%+v %s", call, call.Request.RequestURI)
+	}
+	f.Answer(call.ID, reducer.Reply{Status: 200, Header: http.Header{"X-Cache": {"hit"}}, Body: []byte("price\n")})
+	f.Answer(call.ID, reducer.Reply{Status: 500}) // the first wins
+	if resp, body := c.answer(); resp.StatusCode != 200 || body != "price\n" || resp.Header.Get("X-Cache") != "hit" {
+		t.Errorf("%+v %q", resp, body)
+	}
+	c.send("POST /booking HTTP/1.1\nHost: x\nX-Request-Id: 2\nX-Class: booking\nX-Deadline: 900000u\n"+
+		"Idempotency-Key: 5c\nContent-Length: 4\n", "skip")
+	call = (<-f.events).(reducer.Arrived).Call
+	if string(call.Body) != "skip" || call.Tenant != -1 || call.Request.Header.Get("Idempotency-Key") != "5c" {
+		t.Errorf("%+v", call)
+	}
+	f.Answer(call.ID, reducer.Reply{Status: 503, Header: http.Header{"Retry-After": {"0.250"}}})
+	if resp, _ := c.answer(); resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.250" {
+		t.Errorf("%+v", resp)
+	}
+}
+
+// What is not a call never reaches the reducer, and so no app node.
+func TestWhatIsNoCallIsTurnedAway(t *testing.T) {
+	f := newFront(t, 10)
+	c := f.dial()
+	for _, cut := range []struct{ from, to string }{
+		{"X-Request-Id: 9b1f\n", ""}, {"X-Class: lookup\n", ""}, {"X-Class: lookup", "X-Class: other"},
+		{"X-Deadline: 480m\n", ""}, {"480m", "480"}, {"480m", "NaNm"}, {"480m", "-1m"}, {"480m", "soon"},
+	} {
+		if resp, _ := c.send(strings.Replace(lookup, cut.from, cut.to, 1), "").answer(); resp.StatusCode != 400 {
+			t.Errorf("%q for %q: %d", cut.to, cut.from, resp.StatusCode)
+		}
+	}
+	c.send(strings.Replace(lookup, "GET", "POST", 1)+"Content-Length: 65537\n", strings.Repeat("x", 65537))
+	if resp, _ := c.answer(); resp.StatusCode != 413 {
+		t.Errorf("%d for a body over the limit", resp.StatusCode)
+	}
+	if len(f.events) != 0 {
+		t.Errorf("the reducer heard %T", <-f.events)
+	}
+}
+
+func TestAClientThatLeavesIsTold(t *testing.T) {
+	f := newFront(t, 10)
+	c := f.dial().send(strings.Replace(lookup, "GET", "POST", 1)+"Content-Length: 2\n", "ab")
+	call := (<-f.events).(reducer.Arrived).Call
+	c.Close()
+	if gone, ok := (<-f.events).(reducer.ClientGone); !ok || gone.Call != call.ID {
+		t.Fatalf("%+v", gone)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.waiting) != 0 {
+		t.Error("the call is still waited for")
+	}
+}
+
+// Over the budget the longest idle client makes room; one that waits for an answer is left alone.
+func TestTheOldestIdleClientMakesRoom(t *testing.T) {
+	f := newFront(t, 2)
+	one := f.dial().send(lookup, "")
+	call := (<-f.events).(reducer.Arrived).Call
+	two := f.dial().send("GET /health/ready HTTP/1.1\nHost: x\n", "")
+	if resp, _ := two.answer(); resp.StatusCode != 503 {
+		t.Fatalf("ready before it was said: %d", resp.StatusCode)
+	}
+	f.Ready()
+	three := f.dial().send("GET /health/ready HTTP/1.1\nHost: x\n", "")
+	if resp, _ := three.answer(); resp.StatusCode != 200 {
+		t.Fatalf("%d", resp.StatusCode)
+	}
+	if _, err := two.ReadByte(); err != io.EOF {
+		t.Errorf("the idle client: %v", err)
+	}
+	f.Answer(call.ID, reducer.Reply{Status: 200, Header: http.Header{}})
+	one.answer()
+}
+
+// After the signal to end, what was taken is answered, each answer ends its connection, new connections are
+// taken for a while yet, and then none.
+func TestDrainFinishesWhatWasTaken(t *testing.T) {
+	f := newFront(t, 10)
+	f.Ready()
+	before := f.dial().send(lookup, "")
+	first := (<-f.events).(reducer.Arrived).Call
+	began, ended := time.Now(), make(chan struct{})
+	go func() { f.Drain(10 * time.Second); close(ended) }()
+	for !f.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	after := f.dial().send(lookup, "")
+	second := (<-f.events).(reducer.Arrived).Call
+	f.Answer(second.ID, reducer.Reply{Status: 200, Header: http.Header{}})
+	if resp, _ := after.answer(); !resp.Close {
+		t.Error("the connection was kept")
+	}
+	for { // until the listener is closed
+		nc, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			break
+		}
+		nc.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if d := time.Since(began); d < 700*time.Millisecond {
+		t.Errorf("accepted for %v only", d)
+	}
+	f.Answer(first.ID, reducer.Reply{Status: 200, Header: http.Header{}, Body: []byte("done")})
+	if _, body := before.answer(); body != "done" {
+		t.Error(body)
+	}
+	<-ended
+}
--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -1,8 +1,16 @@
 package delegation
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"slices"
+	"strings"
 	"testing"
+	"time"
+
+	"pewterrudder/internal/reducer"
 )
 
 // The app nodes write the settings' words, the protocol's example the short ones. Reports in the first form
@@ -24,3 +32,170 @@
 		}
 	}
 }
+
+// link is one connection to an app node that the test plays.
+type link struct {
+	t      *testing.T
+	set    *Connections
+	events chan reducer.Event
+	node   net.Conn
+	read   *bufio.Reader
+}
+
+func newLink(t *testing.T) *link {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	k := &link{t: t, events: make(chan reducer.Event, 10)}
+	k.set = New(func(e reducer.Event) { k.events <- e }, []string{"utilization", "backlog"})
+	k.set.Dial(reducer.Dial{Conn: 1, Address: l.Addr().String(), Timeout: 10 * time.Second})
+	if k.node, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	k.node.SetDeadline(time.Now().Add(20 * time.Second)) // a hang is a failure
+	k.read = bufio.NewReader(k.node)
+	if d := (<-k.events).(reducer.Dialed); d.Err != nil {
+		t.Fatal(d.Err)
+	}
+	t.Cleanup(func() { k.set.Close(reducer.Close{Conn: 1}); k.node.Close() })
+	return k
+}
+
+func (k *link) send(body []byte) {
+	k.set.Exchange(reducer.Exchange{Conn: 1, Wait: 300 * time.Millisecond, Call: &reducer.Call{
+		Request: &http.Request{Method: "POST", Host: "origin.svc", RequestURI: "/booking//a%2Fb?q=1;2&x=%zz",
+			Header: http.Header{"X-Request-Id": {"9b1f"}, "Idempotency-Key": {"5c"}, "Expect": {"100-continue"}}},
+		Body: body}})
+}
+
+func (k *link) ended() reducer.Exchanged {
+	k.t.Helper()
+	select {
+	case ev := <-k.events:
+		return ev.(reducer.Exchanged)
+	case <-time.After(20 * time.Second):
+		k.t.Fatal("the exchange has no end")
+	}
+	return reducer.Exchanged{}
+}
+
+// exchange sends a call, lets the app node say something, and returns how it ended.
+func (k *link) exchange(says string) reducer.Exchanged {
+	k.t.Helper()
+	k.send([]byte("skip"))
+	if _, err := http.ReadRequest(k.read); err != nil {
+		k.t.Fatal(err)
+	}
+	io.CopyN(io.Discard, k.read, 4)
+	io.WriteString(k.node, says)
+	if !strings.Contains(says, "Content-Length") {
+		k.node.Close()
+	}
+	return k.ended()
+}
+
+func TestACallIsWrittenAsItCame(t *testing.T) {
+	k := newLink(t)
+	k.send([]byte("skip"))
+	var got []string
+	for {
+		line, err := k.read.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if line = strings.TrimSpace(line); line == "" {
+			break
+		}
+		got = append(got, line)
+	}
+	want := []string{"POST /booking//a%2Fb?q=1;2&x=%zz HTTP/1.1", "Host: origin.svc", "Content-Length: 4",
+		"Idempotency-Key: 5c", "X-Deadline: 300000u", "X-Request-Id: 9b1f"}
+	if !slices.Equal(got, want) {
+		t.Errorf("%q", got)
+	}
+}
+
+// Each way in which an answer can come or fail to. What is garbled is an outcome, never a panic or a hang.
+func TestHowAnExchangeEnds(t *testing.T) {
+	for _, c := range []struct {
+		says        string
+		status      int // 0: no answer
+		shed, reuse bool
+		report      []float64
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: utilization=0.5,backlog=1\r\n\r\nok", 200, false, true,
+			[]float64{0.5, 1}},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", 200, false, false, nil},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, false, true, nil},
+		{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nX-Load: what\r\n\r\n", 500, false, true, nil},
+		{"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n\r\n", 503, true, true, nil},
+		{"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", 503, false, true, nil},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), 502, false, false, nil},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal", 0, false, false, nil},
+		{"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 90000) + "\r\n\r\n", 0, false, false, nil},
+		{"FTP says hello\r\n\r\n", 0, false, false, nil},
+		{strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9), 0, false, false, nil},
+		{"", 0, false, false, nil},
+	} {
+		e := newLink(t).exchange(c.says)
+		status := 0
+		if e.Reply != nil {
+			status = e.Reply.Status
+			if e.Reply.Header.Get("X-Load") != "" {
+				t.Errorf("%.60q: the load report goes on to the client", c.says)
+			}
+		}
+		if status != c.status || e.Shed != c.shed || e.Reuse != c.reuse || !slices.Equal(e.Report, c.report) ||
+			e.Written != reducer.Whole {
+			t.Errorf("%.60q: %d %+v", c.says, status, e)
+		}
+	}
+}
+
+// A connection that breaks before the last byte is written proves that the request never ran.
+func TestABreakWhileWritingIsToldApart(t *testing.T) {
+	k := newLink(t)
+	k.send(make([]byte, 64<<20)) // more than the buffers between hold
+	if _, err := k.read.ReadByte(); err != nil {
+		t.Fatal(err)
+	}
+	k.node.Close()
+	if e := k.ended(); e.Written != reducer.Partly || e.Reply != nil {
+		t.Errorf("%+v", e)
+	}
+}
+
+// An idle connection that the app node closes, or speaks on out of turn, is told of; and if a call was on its way to it
+// at that moment, then that call was not written at all.
+func TestALostIdleConnection(t *testing.T) {
+	for _, says := range []string{"", "HTTP/1.1 408 Slow\r\n\r\n"} {
+		k := newLink(t)
+		io.WriteString(k.node, says)
+		if says == "" {
+			k.node.Close()
+		}
+		if lost, ok := (<-k.events).(reducer.Lost); !ok || lost.Conn != 1 {
+			t.Fatalf("%+v", lost)
+		}
+		k.send(nil)
+		if e := k.ended(); e.Written != reducer.Nothing {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+func TestARefusedDialIsTold(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	events := make(chan reducer.Event, 1)
+	c := New(func(e reducer.Event) { events <- e }, nil)
+	c.Dial(reducer.Dial{Conn: 1, Address: l.Addr().String(), Timeout: 10 * time.Second})
+	if d, ok := (<-events).(reducer.Dialed); !ok || d.Err == nil {
+		t.Errorf("%+v", d)
+	}
+}
