--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,142 @@
+package registry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pewterrudder/brain"
+	"pewterrudder/internal/reducer"
+)
+
+const change = `{"revision":43,"complete":false,"members":[{"id":"s-5b","host_port":"10.1.0.18:5000","locality":"a",` +
+	`"flavor":"m2","cell":3,"phase":"Terminating","size":1.5,"up_since_ms":5000,"later":1}]}`
+
+func clock(ms float64) time.Duration { return time.Hour + time.Duration(ms)*time.Millisecond }
+
+func TestAListIsDecoded(t *testing.T) {
+	l, err := Decode([]byte(change), clock)
+	want := brain.Member{Server: "s-5b", Zone: "a", Kind: "m2", Cell: 3, Weight: 1.5, State: brain.Draining,
+		Started: time.Hour + 5*time.Second}
+	if err != nil || l.Revision != 43 || l.Complete || len(l.Members) != 1 || l.Members[0] != want ||
+		l.Addresses[0] != "10.1.0.18:5000" {
+		t.Errorf("%+v %v", l, err)
+	}
+	long, _ := Decode([]byte(strings.Replace(change, "5000,\"later", "0,\"later", 1)), clock)
+	if long.Members[0].Started != 0 {
+		t.Error("0 must stay long ago")
+	}
+	start, _ := Decode([]byte(change), func(float64) time.Duration { return 0 })
+	if start.Members[0].Started == 0 {
+		t.Error("a start at the clock's zero must not become long ago")
+	}
+}
+
+// One entry that makes no sense must not hide the others: rule 3 counts from what was written to us.
+func TestABadEntryIsLeftOutAndNamed(t *testing.T) {
+	l, err := Decode([]byte(`{"revision":1,"members":[{"id":"a","phase":"Sleepy"},{"phase":"Ready"},{"id":"c","phase":"Gone"}]}`), clock)
+	if err == nil || len(l.Members) != 1 || l.Members[0].Server != "c" || len(l.Addresses) != 1 {
+		t.Errorf("%+v %v", l, err)
+	}
+}
+
+// discovery plays one connection and says how the watch ended.
+func discovery(t *testing.T, serve func(asked string, nc net.Conn)) (*Registry, chan reducer.Event) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		buf := make([]byte, 1000)
+		n, _ := nc.Read(buf)
+		serve(string(buf[:n]), nc)
+	}()
+	events := make(chan reducer.Event, 10)
+	return New(l.Addr().String(), func(e reducer.Event) { events <- e }, func(string) {}, clock), events
+}
+
+func next(t *testing.T, events chan reducer.Event) reducer.Event {
+	t.Helper()
+	select {
+	case e := <-events:
+		return e
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing came")
+		return nil
+	}
+}
+
+func TestAWatchTellsChangesAndItsEnd(t *testing.T) {
+	g, events := discovery(t, func(asked string, nc net.Conn) {
+		if !strings.HasPrefix(asked, "GET /registry/instances?follow=1&since=41 ") {
+			t.Errorf("asked %q", asked)
+		}
+		fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, part := range []string{change[:40], change[40:] + "\n", "\n", change + "\n"} {
+			fmt.Fprintf(nc, "%x\r\n%s\r\n", len(part), part)
+		}
+	})
+	g.Watch(41)
+	for range 2 {
+		if l, ok := next(t, events).(reducer.Listed); !ok || l.List.Revision != 43 {
+			t.Fatalf("%+v", l)
+		}
+	}
+	if e, ok := next(t, events).(reducer.WatchEnded); !ok || e.Err == nil {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// A discovery that fails, talks nonsense or falls silent ends the watch with a word, once.
+func TestABrokenWatchIsTold(t *testing.T) {
+	for name, says := range map[string]string{
+		"down":     "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+		"closed":   "",
+		"garbage":  "nonsense\r\n\r\n",
+		"bad json": "HTTP/1.1 200 OK\r\n\r\n{\"revision\":\n",
+		"silent":   "HTTP/1.1 200 OK\r\n\r\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hold := make(chan struct{})
+			g, events := discovery(t, func(_ string, nc net.Conn) {
+				fmt.Fprint(nc, says)
+				if name == "silent" {
+					<-hold
+				}
+			})
+			defer close(hold)
+			g.Watch(1)
+			e, ok := next(t, events).(reducer.WatchEnded)
+			if !ok || e.Err == nil || name == "silent" && e.Err != errSilent {
+				t.Errorf("%+v", e)
+			}
+		})
+	}
+}
+
+func TestANewWatchReplacesTheOldWithoutAWord(t *testing.T) {
+	ended := make(chan struct{})
+	g, events := discovery(t, func(_ string, nc net.Conn) {
+		fmt.Fprintf(nc, "HTTP/1.1 %d OK\r\n\r\n%s\n", http.StatusOK, change)
+		nc.Read(make([]byte, 1)) // until the old watch is given back
+		close(ended)
+	})
+	g.Watch(1)
+	next(t, events)
+	g.address = "127.0.0.1:1" // nobody there: the new watch ends at once
+	g.Watch(2)
+	<-ended
+	if _, ok := next(t, events).(reducer.WatchEnded); !ok || len(events) != 0 {
+		t.Error("the end of the new watch belongs there once, and nothing else")
+	}
+}
