Fade a load report with its age, and refuse what was never sent

Cause: a report stands for 30 s at full weight though queues change in a fraction of a second. It now gives way with its age to this node's own requests in flight. Also: a call that runs out of time before anything was sent is refused with Retry-After instead of failed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	rotateEvery = 8 * time.Second // the worst of the sample gives way to an outsider
 
 	reportLag   = 0.3  // seconds: by so much a load report may lag behind what this node has sent meanwhile
+	reportFades = 0.5  // seconds: queues change in less, so a report soon gives way to own requests in flight
 	reportStale = 30.0 // seconds: an older figure says nothing any more
 
 	repeatBudget = 0.05 // further attempts after one that may have run, per request
@@ -445,7 +446,8 @@
 	held := mean * s.size
 	since := float64(s.inflight)
 	if s.hasReport && (n.now-s.reportAt).Seconds() < reportStale {
-		held, since = s.held, float64(s.inflight)-s.ownThen
+		w := math.Exp(-(n.now - s.reportAt).Seconds() / reportFades)
+		held, since = w*s.held, float64(s.inflight)-w*s.ownThen
 	}
 	held = max(held+since*herd, float64(s.inflight))
 	s.figure = (held + 1) / s.size * s.slow
--- a/brain/failures_test.go
+++ b/brain/failures_test.go
@@ -418,3 +418,19 @@
 		t.Error("no word on when to come back")
 	}
 }
+
+// A report is believed less the older it is: a queue told of a second ago must not outweigh what this node
+// knows to be waiting elsewhere now.
+func TestAnOldReportGivesWayToOwnRequests(t *testing.T) {
+	b := newBed(testSettings(), members(2))
+	a := b.node.byID["s00"]
+	b.node.takeReport(a, 10)
+	b.node.rate(a, 0, 1)
+	young := a.figure
+	b.now += 2 * time.Second
+	b.node.now = b.now
+	b.node.rate(a, 0, 1)
+	if young < 10 || a.figure > 2 {
+		t.Errorf("figure %v at once, %v after 2 s", young, a.figure)
+	}
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -324,8 +324,7 @@
 	r.calls[in.ID], r.byBrain[c.brainID] = c, c
 	c.Deadline -= answerMargin
 	if c.Deadline <= r.now {
-		r.answer(c, failure())
-		r.forget(c)
+		r.answer(c, r.unserved(c))
 		return
 	}
 	r.emit(Arm{c.Deadline - r.now, deadline{c.ID}})
@@ -346,7 +345,7 @@
 		}
 	}
 	if !c.done { // held by the node, or forgotten
-		r.answer(c, failure())
+		r.answer(c, r.unserved(c))
 		r.tell(&brain.ClientGone{ID: c.brainID})
 	}
 	r.forget(c)
@@ -378,6 +377,18 @@
 	return Reply{Status: http.StatusServiceUnavailable, Header: h, Body: []byte("overloaded\n")}
 }
 
+// unserved is the answer where the node has none: a refusal as long as nothing was sent, since then trying
+// again is harmless whatever the class.
+func (r *Reducer) unserved(c *call) Reply {
+	if len(c.delegations) > 0 {
+		return failure()
+	}
+	if !r.cfg.RetryAfter {
+		return overloadReply(0)
+	}
+	return overloadReply(r.cfg.MaxRetryAfter / 2)
+}
+
 func failure() Reply {
 	return Reply{Status: http.StatusBadGateway, Header: http.Header{}, Body: []byte("failed\n")}
 }
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -365,3 +365,23 @@
 		t.Error("Ready belongs once, to the first list with a server")
 	}
 }
+
+// A call that comes with no time left was sent nowhere, so the client is told that it may come again.
+func TestACallWithoutTimeIsRefused(t *testing.T) {
+	w := newWorld(t, 4, "a:1")
+	id := w.call(1, answerMargin)
+	if c := w.calls[id]; c.reply.Status != 503 || c.reply.Header.Get("Retry-After") == "" || w.r.Open() != 0 {
+		t.Errorf("%+v, %d calls open", c.reply, w.r.Open())
+	}
+}
+
+// The answer goes out in time even if the node stays silent, as it does about a call it holds.
+func TestTheReducerAnswersForASilentNode(t *testing.T) {
+	w := newWorld(t, 4) // no server: the node holds the call
+	id := w.call(0, 40*ms)
+	w.r.tell(&brain.ClientGone{ID: w.r.calls[id].brainID}) // and now it has forgotten it
+	w.pass(40 * ms)
+	if c := w.calls[id]; c.answers != 1 || c.reply.Status != 503 || w.r.Open() != 0 {
+		t.Errorf("%+v, %d calls open", c, w.r.Open())
+	}
+}
