Give the silent node's test a call that the node does hold

Seen: the last commit's test asked with 40 ms, which the node refuses at once as it should, and then looked for a call that was over: a fault of the test alone.

--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -378,9 +378,9 @@
 // The answer goes out in time even if the node stays silent, as it does about a call it holds.
 func TestTheReducerAnswersForASilentNode(t *testing.T) {
 	w := newWorld(t, 4) // no server: the node holds the call
-	id := w.call(0, 40*ms)
+	id := w.call(0, 140*ms)
 	w.r.tell(&brain.ClientGone{ID: w.r.calls[id].brainID}) // and now it has forgotten it
-	w.pass(40 * ms)
+	w.pass(140 * ms)
 	if c := w.calls[id]; c.answers != 1 || c.reply.Status != 503 || w.r.Open() != 0 {
 		t.Errorf("%+v, %d calls open", c, w.r.Open())
 	}
