--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -160,24 +160,26 @@
 		if err == nil {
 			k.answer(br, job.method, &e)
 		}
-		written := true
 		if e.Reply == nil {
 			k.nc.SetDeadline(time.Unix(1, 0)) // a writer that still pushes against a dead peer has to end
 			<-job.written
-			written = job.whole
 		} else {
 			select {
 			case <-job.written:
-				written = job.whole
 			default:
-				written = false // answered before the last byte: the connection is of no more use
+				// Either the writer has only not come to say so yet, or the app node answered before the last
+				// byte and reads no more: this ends the second, and the connection is then of no use.
+				k.nc.SetWriteDeadline(time.Unix(1, 0))
+				<-job.written
+				k.nc.SetWriteDeadline(time.Time{})
 			}
 		}
 		e.Written = reducer.Partly
-		if written {
+		if job.whole {
 			e.Written = reducer.Whole
 		}
 		k.mu.Lock()
+		e.Reuse = e.Reuse && job.whole
 		k.job, k.dead = nil, !e.Reuse
 		k.mu.Unlock()
 		k.set.post(e)
--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -167,6 +167,20 @@
 	}
 }
 
+// An app node that answers before it has read everything must neither hang the exchange nor leave a connection
+// with half a request on it in the pool.
+func TestAnAnswerBeforeTheLastByte(t *testing.T) {
+	k := newLink(t)
+	k.send(make([]byte, 64<<20))
+	if _, err := k.read.ReadByte(); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(k.node, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n\r\n")
+	if e := k.ended(); e.Reply == nil || !e.Shed || e.Reuse || e.Written != reducer.Partly {
+		t.Errorf("%+v", e)
+	}
+}
+
 // An idle connection that the app node closes, or speaks on out of turn, is told of; and if a call was on its way to it
 // at that moment, then that call was not written at all.
 func TestALostIdleConnection(t *testing.T) {
