Let answers over 64 KiB flow: an attempt gets a commit, the client reads the socket

Change: up to 64 KiB an answer is held as before, one event and one write. One that goes on asks the reducer to commit it (Flowing): the first gets the call, other copies are called off by the module (StreamBegun), and the client's side reads what remains off the app node's socket, through one lent buffer. A break from there on ends the client's connection; the deadline holds for the last byte; a client that leaves or takes nothing for 2 s ends the app node's. An answer that stops is waited for by a learned wait (RFC 6298's estimate), before the commit for another try. Memory is lent from a room with a cap; largest answer 16 MiB; uploads over 64 KiB flow to one app node, off by default. The reducer knows no HTTP any more: calls and answers pass as messages. Its file is split by the state that it holds. 2xx, 3xx and HEAD answers pass; trailers pass. The module gave up its hash for xxhash to make room for StreamBegun.

Found by the model with its new states, and mended: a call whose client had left while its connection was dialled was written all the same, where the settings permit no cancels; an unknown server named by a decider was a panic.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -13,6 +13,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ---- tunables ----
@@ -110,13 +112,14 @@
 }
 
 type attempt struct {
-	srv  *server
-	sent time.Duration
-	load float64 // of the server when it was sent
-	size float64 // what it added to the server's load
-	over bool
-	ran  bool // may have run
-	late bool // overdue: it should have been answered long ago
+	srv   *server
+	sent  time.Duration
+	load  float64 // of the server when it was sent
+	size  float64 // what it added to the server's load
+	over  bool
+	ran   bool // may have run
+	late  bool // overdue: it should have been answered long ago
+	begun bool // its answer flows
 }
 
 type wait struct { // for the answer of an attempt
@@ -242,9 +245,13 @@
 			n.finish(r)
 		}
 	case *StreamBegun:
-		if r := n.reqs[e.ID]; r != nil && !r.done && e.Attempt < len(r.attempts) {
-			r.streamed = true // the attempt belongs to the client now
-			r.attempts[e.Attempt].srv.by[r.Class].waitSince = now
+		if r := n.reqs[e.ID]; r != nil && !r.done && !r.streamed && e.Attempt < len(r.attempts) &&
+			!r.attempts[e.Attempt].over {
+			a := &r.attempts[e.Attempt]
+			h := &a.srv.by[r.Class]
+			n.callOff(r, a) // it belongs to the client now, and no other does
+			r.streamed, a.begun, a.late = true, true, false
+			h.waitSince, h.inflight = now, h.inflight-1 // it holds its place; no sign of life is waited for
 		}
 	}
 	actions, n.out = n.out, nil
@@ -335,11 +342,7 @@
 	return n.kinds[m.Kind]
 }
 
-const (
-	cookieAsk = iota + 1
-	cookieParked
-	cookieOverdue
-)
+const cookieAsk, cookieParked, cookieOverdue = 1, 2, 3
 
 // followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread
 // by the seed, and each failure doubles the pause before the next.
@@ -410,8 +413,7 @@
 		}
 		i := n.rng.IntN(len(n.rank))
 		n.rank[i].inSample = false
-		n.rank[i] = s
-		s.inSample = true
+		n.rank[i], s.inSample = s, true
 	}
 	n.fresh = n.fresh[:0]
 }
@@ -705,15 +707,11 @@
 	slices.SortFunc(n.ring, func(a, b place) int { return cmp.Compare(a.at, b.at) })
 }
 
-// hash is FNV-1a with a mixed end; all nodes must agree on it, so it has no seed.
+// hash: all nodes must agree on it.
 func hash(text string, salt uint64) uint64 {
-	h := uint64(14695981039346656037) ^ salt*0x9e3779b97f4a7c15
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * 1099511628211
-	}
-	h ^= h >> 32
-	h *= 0xd6e8feb86659fd93
-	return h ^ h>>32
+	d := xxhash.NewWithSeed(salt)
+	d.WriteString(text)
+	return d.Sum64()
 }
 
 // ---- guards ----
@@ -947,7 +945,9 @@
 	n.busy--
 	n.trackOwn(a.srv)
 	a.srv.inflight--
-	a.srv.by[r.Class].inflight--
+	if !a.begun {
+		a.srv.by[r.Class].inflight--
+	}
 	a.srv.load = max(0, a.srv.load-a.size)
 	n.judge(a, r, e)
 	if held, ok := n.heldOf(a.srv, e.Report); ok && len(e.Report) > 0 && n.cfg.Weights != WeightLive {
@@ -1001,16 +1001,20 @@
 // finish: nothing more is owed; what is still out is called off.
 func (n *Node) finish(r *request) {
 	r.done = true
-	if n.cfg.CanCancel && !r.streamed {
-		for i := range r.attempts {
-			if !r.attempts[i].over {
-				n.emit(Action{Kind: Cancel, ID: r.ID, Attempt: i})
-			}
-		}
+	if !r.streamed {
+		n.callOff(r, nil)
 	}
 	n.forget(r)
 }
 
+func (n *Node) callOff(r *request, but *attempt) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; n.cfg.CanCancel && !a.over && a != but {
+			n.emit(Action{Kind: Cancel, ID: r.ID, Attempt: i})
+		}
+	}
+}
+
 func (n *Node) forget(r *request) {
 	if r.done && r.out == 0 && !r.parked {
 		delete(n.reqs, r.ID)
@@ -1100,9 +1104,7 @@
 		bad = 1
 	}
 	h.errs += errWeight * (bad - h.errs)
-	if h.trial && bad == 0 {
-		h.trial = false
-	}
+	h.trial = h.trial && bad > 0
 	if bad > 0 && h.errs > ejectFloor && h.errs > ejectRatio*n.peersErr(r.Class) {
 		n.eject(h, r.Class)
 	} else if bad == 0 && h.errs < 0.05 {
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"log"
 	"net"
@@ -18,6 +19,7 @@
 	"pewterrudder/internal/acceptor"
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/delegation"
+	"pewterrudder/internal/flow"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/registry"
 )
@@ -43,9 +45,20 @@
 func run() error {
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	settings := flag.String("settings", "", "`file` of settings, JSON with comments; else $"+config.SettingsVariable)
+	flag.Parse()
+	if flag.NArg() > 0 {
+		return fmt.Errorf("%q: there is nothing to name but flags", flag.Arg(0))
+	}
+	env := func(name string) string {
+		if name == config.SettingsVariable && *settings != "" {
+			return *settings
+		}
+		return os.Getenv(name)
+	}
 	reload := make(chan os.Signal, 1) // one that comes during a reload waits: the file is then read once more
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := config.Load(env)
 	if err != nil {
 		return err
 	}
@@ -67,6 +80,10 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	flows := cfg.Service.Flow
+	if stall := flows.Stall(); stall > 0 {
+		state.FixStall(stall)
+	}
 	events := make(chan reducer.Event, backlog)
 	post := func(ev reducer.Event) { events <- ev }
 	classes, tenants := cfg.Settings.Names()
@@ -74,8 +91,10 @@
 	for _, c := range cfg.Brain.Classes {
 		deadlines = append(deadlines, c.Deadline)
 	}
-	front := acceptor.New(now, post, classes, tenants, deadlines, clientBudget, keptBudget)
-	nodes := delegation.New(post, cfg.Settings.Stats.Columns)
+	front := acceptor.New(now, post, classes, tenants, deadlines, clientBudget, keptBudget,
+		acceptor.Bounds{Upload: flows.MaxUploadBytes, ClientIdle: flows.ClientIdle()})
+	nodes := delegation.New(post, cfg.Settings.Stats.Columns, delegation.Bounds{Largest: flows.MaxAnswerBytes,
+		Room: flow.NewRoom(flows.Room(cfg.Limits)), Wait: flows.Wait()})
 	list := registry.New(post, func(text string) { log.Print(text) }, started)
 
 	listener, err := net.Listen("tcp", cfg.Listen)
@@ -123,7 +142,7 @@
 			return err
 		case <-reload:
 			// A file with a fault must not cost the service: the old configuration stays in force.
-			next, err := config.Load(os.Getenv)
+			next, err := config.Load(env)
 			if err != nil {
 				log.Printf("reload: %v; the old configuration stays", err)
 				continue
--- /dev/null
+++ b/internal/acceptor/read.go
@@ -0,0 +1,92 @@
+package acceptor
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"pewterrudder/internal/flow"
+	"pewterrudder/internal/message"
+	"pewterrudder/internal/reducer"
+)
+
+// read checks a request and reads its body. What fails here never goes to an app node.
+func (a *Acceptor) read(w http.ResponseWriter, r *http.Request) (*reducer.Call, error) {
+	came := a.now()
+	bad := func(text string) (*reducer.Call, error) { return nil, &refused{http.StatusBadRequest, text} }
+	// net/http takes Transfer-Encoding over a Content-Length and drops the latter (HTTP/1.0: the reverse), so a body
+	// that was framed both ways cannot be told apart here, and may hide another request behind its end. Our clients
+	// state a length; any other framing is turned away, and the connection with it.
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		return nil, &refused{http.StatusLengthRequired, "a body needs a Content-Length, in HTTP/1.1"}
+	}
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		return bad("X-Request-Id is missing")
+	}
+	class, ok := a.classes[r.Header.Get("X-Class")]
+	if !ok {
+		return bad("X-Class is missing or unknown")
+	}
+	wait, ok := duration(r.Header.Get("X-Deadline"))
+	if !ok {
+		return bad("X-Deadline is missing or malformed")
+	}
+	tenant, ok := a.tenants[r.Header.Get("X-Tenant")]
+	if !ok {
+		tenant = -1
+	}
+	out, err := a.body(w, r)
+	if err != nil {
+		return nil, err
+	}
+	hint := r.Header.Get("X-Cost-Hint")
+	work, ok := duration(hint)
+	if !ok {
+		work, _ = duration(hint + "m") // a bare figure is in ms; one that makes no sense is none
+	}
+	return &reducer.Call{ID: a.lastCall.Add(1), ClientID: strings.Clone(id), Class: class, Tenant: tenant, Retry: r.Header.Get("X-Retry") == "1",
+		Key: r.URL.Query().Get("key"), Work: float64(work) / float64(time.Millisecond), Message: out, OneShot: out.Upload != nil,
+		Deadline: came + min(wait, a.deadlines[class])}, nil // nobody waits longer, and no timer should
+}
+
+// body reads a body within the connection's read deadline, or leaves one that is too large to be held to whoever sends
+// it on. One that is too long by its own account is turned away unread.
+func (a *Acceptor) body(w http.ResponseWriter, r *http.Request) (*message.Call, error) {
+	switch {
+	case r.ContentLength > max(a.bounds.Upload, flow.Hold):
+		return nil, &refused{http.StatusRequestEntityTooLarge, "the body is over the limit"}
+	case r.ContentLength == 0:
+		return &message.Call{}, nil
+	}
+	control := http.NewResponseController(w)
+	if r.ContentLength > flow.Hold {
+		return &message.Call{Upload: flow.NewUpload(r.Body, r.ContentLength, a.bounds.ClientIdle, time.Now,
+			func(t time.Time) { control.SetReadDeadline(t) })}, nil
+	}
+	body, err := io.ReadAll(r.Body) // grows as it comes: a length is only said
+	if err != nil {
+		return nil, &refused{http.StatusRequestTimeout, "the body is not as long as its Content-Length"}
+	}
+	control.SetReadDeadline(time.Time{}) // or its end would seem to be the client's leaving
+	return &message.Call{Body: body}, nil
+}
+
+// duration reads a number and its unit: m for milliseconds, u for microseconds.
+func duration(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "m")
+	if !ok {
+		unit = time.Microsecond
+		if number, ok = strings.CutSuffix(text, "u"); !ok {
+			return 0, false
+		}
+	}
+	v, err := strconv.ParseFloat(number, 64)
+	if err != nil || !(v >= 0 && v < 1e10) { // NaN fails both
+		return 0, false
+	}
+	return time.Duration(v * float64(unit)), true
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -293,6 +293,7 @@
 	Raw       json.RawMessage `json:"settings"` // see Settings
 
 	Settings *Settings      `json:"-"`
+	Service  Service        `json:"-"` // of the settings file
 	Brain    brain.Settings `json:"-"`
 	Prng     uint64         `json:"-"`
 }
@@ -320,6 +321,9 @@
 			*v.to = env(v.name)
 		}
 	}
+	if c.Service, err = LoadService(env(SettingsVariable)); err != nil {
+		return nil, err
+	}
 	return c, c.check()
 }
 
@@ -330,7 +334,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}} {
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"the settings file", c.Service == next.Service}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
--- /dev/null
+++ b/internal/delegation/write.go
@@ -0,0 +1,97 @@
+package delegation
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"pewterrudder/internal/message"
+	"pewterrudder/internal/reducer"
+)
+
+// Exchange writes a call in the background; the reader of the connection reports its end.
+func (c *Connections) Exchange(e reducer.Exchange) {
+	k := c.conns[e.Conn]
+	if k == nil {
+		return
+	}
+	job := &exchange{call: e.Call.Message.(*message.Call), stall: e.Stall, flowStall: e.FlowStall,
+		written: make(chan struct{})}
+	k.mu.Lock()
+	dead := k.dead
+	if !dead {
+		k.job = job
+	}
+	k.mu.Unlock()
+	if dead { // the app node closed while the reducer picked this connection
+		go c.post(reducer.Exchanged{Conn: e.Conn, Written: reducer.Nothing, Err: io.EOF})
+		return
+	}
+	go k.write(job, e.Wait)
+}
+
+// write sends a call: one that is held whole in one piece, an upload as its client's side gives it.
+func (k *conn) write(job *exchange, wait time.Duration) {
+	defer close(job.written)
+	out := request(job.call, wait)
+	var wire bytes.Buffer
+	var err error
+	if job.call.Upload == nil {
+		err = out.Write(&wire)
+	}
+	k.mu.Lock()
+	job.begun = err == nil && !k.dead && k.quiet()
+	begun := job.begun
+	k.mu.Unlock()
+	if begun {
+		if job.call.Upload == nil {
+			var n int
+			n, _ = k.nc.Write(wire.Bytes())
+			job.whole = n == wire.Len()
+		} else {
+			job.whole = out.Write(k.nc) == nil // net/http holds the body to its stated length
+		}
+	}
+	if !job.whole {
+		k.nc.SetDeadline(time.Unix(1, 0)) // ends the reader, which reports
+	}
+}
+
+// quiet says whether nothing has come in since the last answer. Answers do not name the call they are made for, so what
+// comes before a call is written must never be taken for its answer: a second copy of the last one, noise, the end.
+func (k *conn) quiet() bool {
+	raw, err := k.nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	var got error
+	err = raw.Control(func(fd uintptr) {
+		_, _, got = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && got == syscall.EAGAIN
+}
+
+// request gives a call the form it has on the wire to an app node: target, body and ids as the client sent them.
+func request(c *message.Call, wait time.Duration) *http.Request {
+	in := c.Request
+	target, query, asked := strings.Cut(in.RequestURI, "?")
+	out := &http.Request{Method: in.Method, Host: in.Host, Header: in.Header.Clone(),
+		URL: &url.URL{Opaque: target, RawQuery: query, ForceQuery: asked && query == ""}}
+	if c.Upload != nil {
+		out.Body, out.ContentLength = io.NopCloser(c.Upload), c.Upload.Length
+	} else if len(c.Body) > 0 {
+		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(c.Body)), int64(len(c.Body))
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil // else Write puts its own
+	}
+	out.Header.Del("Expect") // the body is here already or on its way, and goes out behind the header
+	out.Header.Set("X-Deadline", strconv.FormatInt(max(1, wait.Microseconds()), 10)+"u")
+	return out
+}
--- /dev/null
+++ b/internal/reducer/calls.go
@@ -0,0 +1,166 @@
+package reducer
+
+import (
+	"strconv"
+
+	"pewterrudder/brain"
+)
+
+func (r *Reducer) onArrived(in *Call) {
+	// The node knows calls by numbers of ours: a client that sends the same id again, as it may after a
+	// closed connection, must not meet what is left of the first.
+	c := &call{Call: in, deadline: in.Deadline - answerMargin, brainID: strconv.FormatUint(in.ID, 10)}
+	r.calls[in.ID], r.byBrain[c.brainID] = c, c
+	if first := r.byClient[c.ClientID]; first != nil {
+		// Ids are fresh, so one of the two is a copy, and which of them is not told by the order in which we read
+		// two sockets. The app node tells: it cannot use the copy. Until then the later one waits, since two
+		// attempts with one id in two places, or a refusal of one that may have run, would be a duplicate.
+		c.waiting = true
+		first.behind = append(first.behind, c)
+	} else if r.wasUsed(c.ClientID) {
+		r.answer(c, Reply{Kind: Conflict})
+		return
+	} else if c.deadline <= r.now {
+		r.answer(c, r.unserved(c))
+		return
+	}
+	r.emit(Arm{max(0, c.deadline-r.now), deadline{c.ID}})
+	if !c.waiting {
+		r.admit(c)
+	}
+}
+
+// over says that a call has its answer, or its client has left: nothing may be sent for it any more.
+func (c *call) over() bool { return c.done || c.flow != nil }
+
+// admit hands a call to the node.
+func (r *Reducer) admit(c *call) {
+	c.waiting = false
+	if c.ClientID != "" {
+		r.byClient[c.ClientID] = c
+	}
+	r.tell(&brain.Request{ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
+		Work: c.Work, Deadline: c.deadline})
+}
+
+// settle frees the client's id of a call that is over. Those that wait behind it are copies, unless it was the
+// copy itself: then the next takes its place.
+func (r *Reducer) settle(c *call) {
+	if r.byClient[c.ClientID] != c {
+		return
+	}
+	delete(r.byClient, c.ClientID)
+	behind := c.behind
+	c.behind = nil
+	if !c.rejected {
+		r.remember(c.ClientID)
+	}
+	for i, next := range behind {
+		switch {
+		case next.done:
+		case c.rejected:
+			next.behind = behind[i+1:]
+			r.admit(next)
+			return
+		default:
+			r.answer(next, Reply{Kind: Conflict})
+		}
+	}
+}
+
+func (r *Reducer) remember(id string) {
+	if r.now-r.usedFrom >= idKept || len(r.used[0]) >= idsMost {
+		r.used[0], r.used[1], r.usedFrom = r.used[1], r.used[0], r.now
+		clear(r.used[0])
+	}
+	r.used[0][id] = struct{}{}
+}
+
+func (r *Reducer) wasUsed(id string) bool {
+	_, late := r.used[0][id]
+	_, early := r.used[1][id]
+	return late || early
+}
+
+// onClientGone: nothing is owed any more. What flows to the client is no business of the module's, so it ends here.
+func (r *Reducer) onClientGone(c *call) {
+	c.done = true
+	r.tell(&brain.ClientGone{ID: c.brainID})
+	if d := c.flow; d != nil && !d.over {
+		r.abandon(d)
+		r.end(d, brain.Cancelled, nil)
+	}
+	r.settle(c)
+	r.forget(c)
+}
+
+// onDeadline ends what is out, as the node expects at the deadline, and answers even if the node does not. It holds
+// for the last byte of an answer that flows as well: who was slow, app node or client, is not told by that.
+func (r *Reducer) onDeadline(id uint64) {
+	c := r.calls[id]
+	if c == nil {
+		return
+	}
+	c.done = c.done || c.flow != nil
+	for _, d := range c.delegations {
+		if d.over {
+			continue
+		}
+		o := brain.TimedOut
+		if d == c.flow {
+			o = brain.Cancelled
+		}
+		r.abandon(d)
+		r.end(d, o, nil)
+	}
+	if !c.done { // held by the node, or forgotten
+		r.answer(c, r.unserved(c))
+		r.tell(&brain.ClientGone{ID: c.brainID})
+	}
+	r.settle(c)
+	r.forget(c)
+}
+
+// answer gives the final answer; the first wins.
+func (r *Reducer) answer(c *call, reply Reply) {
+	if c == nil || c.over() {
+		return
+	}
+	c.done = true
+	r.emit(Answer{c.ID, reply})
+	r.settle(c)
+	r.forget(c)
+}
+
+func (r *Reducer) forget(c *call) {
+	if c.done && c.out == 0 {
+		delete(r.calls, c.ID)
+		delete(r.byBrain, c.brainID)
+	}
+}
+
+// unserved is the answer where the node has none: a refusal as long as nothing was sent, since then trying
+// again is harmless whatever the class.
+func (r *Reducer) unserved(c *call) Reply {
+	switch {
+	case c.waiting:
+		return Reply{Kind: Conflict}
+	case len(c.delegations) > 0:
+		return Reply{Kind: Failed}
+	}
+	return r.refusal()
+}
+
+// refusal is one of the reducer's own, with its advice.
+func (r *Reducer) refusal() Reply {
+	if !r.cfg.RetryAfter {
+		return Reply{Kind: Refused}
+	}
+	return Reply{Kind: Refused, After: r.cfg.MaxRetryAfter / 2}
+}
+
+// repeatable says that a call may be tried again though it has run.
+func (r *Reducer) repeatable(c *call) bool {
+	class := &r.cfg.Classes[c.Class]
+	return class.Repeat == brain.Safe || class.Repeat == brain.Keyed && class.Scope == brain.ScopeAll
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -2,19 +2,23 @@
 // each connection to an app node. All changes go through Handle, which takes one event and names the effects
 // that follow; one goroutine drives it. It must never touch a socket, a clock or a lock, and never block.
 //
-// A connection is dialing, busy, idle or closed. It is opened by a Dial effect and given back by a Close
+// A connection is dialing, busy, flowing, idle or closed. It is opened by a Dial effect and given back by a Close
 // effect and nowhere else: once Close is asked for, its id means nothing any more and late events about it
 // are passed over. A call gets one Answer effect, the first; ids of calls are never used twice.
+//
+// A delegation whose answer is larger than what is held asks to be committed (Flowing). The first to ask gets the
+// call: its answer begins to flow to the client, other copies are called off, and nothing is sent for that call any
+// more. Until the flow has ended the call is open and the app node counts as busy with it.
+//
+// What calls and answers look like on a wire is not known here: they pass as Message, which is never looked at.
+// calls.go, delegations.go, connections.go and fleet.go hold one kind of state each.
 package reducer
 
 import (
-	"cmp"
-	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/patience"
 )
 
 // Tunables.
@@ -36,6 +40,13 @@
 	// how many are: an id that comes back within that time is a copy.
 	idKept  = 3 * time.Second
 	idsMost = 20000
+	// An answer that stops in its middle is first waited for half the class's aim, later for what has been learned: at
+	// least a tenth of the aim, so that a moment's pause of a machine is forgiven, at most half the deadline. Once it
+	// flows, no other app node can be asked any more, and the wait is four times as long.
+	stallFirst, stallLeast, stallMost = 0.5, 0.1, 0.5
+	flowStalls                        = 4
+	// sayBrokenEvery bounds the lines on answers that broke off in their middle.
+	sayBrokenEvery = time.Second
 )
 
 // Call is a client's request as the acceptor read it.
@@ -48,16 +59,26 @@
 	Key      string
 	Work     float64
 	Deadline time.Duration // when the client leaves, on the node's clock
-
-	Request *http.Request // method, target and header as they go to an app node
-	Body    []byte
+	OneShot  bool          // its body is read off the client's connection as it is sent: once
+	Message  any           // for the delegation
 }
 
-// Reply is an app node's whole answer.
+// Kind says what a final answer is.
+type Kind uint8
+
+const (
+	Served   Kind = iota // Message is an app node's answer
+	Rejected             // Message is an app node's answer, which says that the call is at fault
+	Refused              // trying again is harmless, best after After
+	Failed               // it may have run
+	Conflict             // the client's id is in use; it is no refusal, since the call of that id may have run
+)
+
+// Reply is the final answer of a call.
 type Reply struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Kind    Kind
+	After   time.Duration // 0: no advice
+	Message any
 }
 
 // Event is one of the structs below.
@@ -80,14 +101,23 @@
 		Conn uint64
 		Err  error
 	}
+	// Flowing: the answer is larger than what is held. The delegation reads no further until the call is answered with
+	// Message, or the connection is closed; Exchanged is its end.
+	Flowing struct {
+		Conn    uint64
+		Result  Result // Good or Unusable
+		Message any
+	}
 	// Exchanged: the one end of an Exchange.
 	Exchanged struct {
 		Conn    uint64
 		Written Written
-		Reply   *Reply    // nil: the connection broke
-		Report  []float64 // the load report, if any
-		Shed    bool      // the app node says that it never ran
-		Reuse   bool      // the connection can carry another call
+		Result  Result
+		Message any           // the answer, whole; none after Flowing
+		Report  []float64     // the load report, if any
+		Reuse   bool          // the connection can carry another call
+		Pause   time.Duration // the longest inside the answer; 0: it came in one piece
+		Spent   bool          // a part of a OneShot body has been taken from the client
 		Err     error
 	}
 	// Lost: an idle connection was closed by the app node.
@@ -118,6 +148,20 @@
 	Whole                  // it may have run
 )
 
+// Result is what came back.
+type Result uint8
+
+const (
+	Broke    Result = iota // no answer, or one that broke off or makes no sense
+	Stalled                // it stopped in its middle for longer than is waited
+	Good                   // an answer for the client
+	Errored                // the app node says that it failed
+	Shed                   // the app node says that it never ran
+	Unusable               // the app node says that the call is at fault
+	NoRoom                 // it is larger than what is held, and there was no memory for it to flow
+	Left                   // the client's side gave it up, while the answer flowed or the body was still to come
+)
+
 // List is discovery's word in the node's terms.
 type List struct {
 	Revision  int64
@@ -144,9 +188,11 @@
 	// Exchange writes a call on an idle connection and reads the answer; Exchanged follows, unless Close
 	// comes first.
 	Exchange struct {
-		Conn uint64
-		Call *Call
-		Wait time.Duration
+		Conn      uint64
+		Call      *Call
+		Wait      time.Duration // until the call's deadline
+		Stall     time.Duration // for the next bytes, inside an answer
+		FlowStall time.Duration // the same once it flows
 	}
 	// Close gives a connection back.
 	Close struct{ Conn uint64 }
@@ -172,6 +218,7 @@
 const (
 	dialing connState = iota
 	busy
+	flowing
 	idle
 	closed
 )
@@ -196,27 +243,32 @@
 type delegation struct {
 	call    *call
 	attempt int
-	srv     *server
+	server  string  // as the node named it
+	srv     *server // nil: there is none of that name
 	conn    *conn
 	sent    time.Duration
+	begun   time.Duration // when its answer was committed
+	shot    bool          // it may have taken a part of a OneShot body
 	over    bool
 }
 
 type call struct {
 	*Call
+	deadline    time.Duration // of ours
 	brainID     string
 	delegations []*delegation
 	out         int
-	done        bool
-	waiting     bool    // behind an open call with the same client's id
-	rejected    bool    // the app node could not use it, so it is no proof of what the id stands for
-	behind      []*call // those that wait for this one
+	done        bool        // nothing is owed any more
+	flow        *delegation // the one whose answer flows to the client
+	waiting     bool        // behind an open call with the same client's id
+	rejected    bool        // the app node could not use it, so it is no proof of what the id stands for
+	behind      []*call     // those that wait for this one
 }
 
 // Reducer is the whole state. Make it with New.
 type Reducer struct {
 	cfg     brain.Settings
-	node    *brain.Node
+	node    brain.Decider
 	now     time.Duration
 	out     []Effect
 	acts    []brain.Action
@@ -239,6 +291,9 @@
 	watching          bool
 	sweeping, readied bool
 	sayFullAt         time.Duration
+	stalls            []*patience.Estimator // by class
+	broken            int                   // answers that broke off in their middle, not yet said
+	sayBrokenAt       time.Duration
 }
 
 // New makes the state of a balancer that may hold budget connections to app nodes.
@@ -247,9 +302,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reducer{cfg: cfg, node: node, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
+	return NewWith(cfg, node, budget), nil
+}
+
+// NewWith makes the state around a decider that is not the module.
+func NewWith(cfg brain.Settings, node brain.Decider, budget int) *Reducer {
+	r := &Reducer{cfg: cfg, node: node, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
-		servers: map[string]*server{}, conns: map[uint64]*conn{}}, nil
+		servers: map[string]*server{}, conns: map[uint64]*conn{}}
+	for i := range cfg.Classes {
+		c := &cfg.Classes[i]
+		part := func(of time.Duration, share float64) time.Duration { return time.Duration(share * float64(of)) }
+		most := part(c.Deadline, stallMost)
+		r.stalls = append(r.stalls, patience.New(min(part(c.Aim, stallFirst), most), min(part(c.Aim, stallLeast), most), most))
+	}
+	return r
+}
+
+// FixStall sets how long an answer that stops in its middle is waited for, in place of what would be learned. It
+// belongs before the first event.
+func (r *Reducer) FixStall(wait time.Duration) {
+	for i := range r.stalls {
+		r.stalls[i] = patience.Fixed(wait)
+	}
 }
 
 // Open is the number of calls that are owed an answer or have a delegation out.
@@ -277,13 +352,12 @@
 		r.onArrived(e.Call)
 	case ClientGone:
 		if c := r.calls[e.Call]; c != nil && !c.done {
-			c.done = true
-			r.tell(&brain.ClientGone{ID: c.brainID})
-			r.settle(c)
-			r.forget(c)
+			r.onClientGone(c)
 		}
 	case Dialed:
 		r.onDialed(e)
+	case Flowing:
+		r.onFlowing(e)
 	case Exchanged:
 		r.onExchanged(e)
 	case Lost:
@@ -344,15 +418,15 @@
 		r.send(r.byBrain[a.ID], a)
 	case brain.Cancel:
 		if c := r.byBrain[a.ID]; c != nil && a.Attempt < len(c.delegations) {
-			if d := c.delegations[a.Attempt]; !d.over {
+			if d := c.delegations[a.Attempt]; !d.over && d != c.flow {
 				r.abandon(d)
 				r.end(d, brain.Cancelled, nil)
 			}
 		}
 	case brain.Refuse:
-		r.answer(r.byBrain[a.ID], overloadReply(a.After))
+		r.answer(r.byBrain[a.ID], Reply{Kind: Refused, After: a.After})
 	case brain.Fail:
-		r.answer(r.byBrain[a.ID], failure())
+		r.answer(r.byBrain[a.ID], Reply{Kind: Failed})
 	case brain.SetTimer:
 		r.emit(Arm{a.After, timer{a.Cookie}})
 	case brain.CloseIdle:
@@ -372,457 +446,12 @@
 	}
 }
 
-// ---- calls ----
-
-func (r *Reducer) onArrived(in *Call) {
-	// The node knows calls by numbers of ours: a client that sends the same id again, as it may after a
-	// closed connection, must not meet what is left of the first.
-	c := &call{Call: in, brainID: strconv.FormatUint(in.ID, 10)}
-	r.calls[in.ID], r.byBrain[c.brainID] = c, c
-	c.Deadline -= answerMargin
-	if first := r.byClient[c.ClientID]; first != nil {
-		// Ids are fresh, so one of the two is a copy, and which of them is not told by the order in which we read
-		// two sockets. The app node tells: it cannot use the copy. Until then the later one waits, since two
-		// attempts with one id in two places, or a refusal of one that may have run, would be a duplicate.
-		c.waiting = true
-		first.behind = append(first.behind, c)
-	} else if r.wasUsed(c.ClientID) {
-		r.answer(c, conflict())
-		return
-	} else if c.Deadline <= r.now {
-		r.answer(c, r.unserved(c))
-		return
-	}
-	r.emit(Arm{max(0, c.Deadline-r.now), deadline{c.ID}})
-	if !c.waiting {
-		r.admit(c)
-	}
-}
-
-// admit hands a call to the node.
-func (r *Reducer) admit(c *call) {
-	c.waiting = false
-	if c.ClientID != "" {
-		r.byClient[c.ClientID] = c
-	}
-	r.tell(&brain.Request{ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
-		Work: c.Work, Deadline: c.Deadline})
-}
-
-// settle frees the client's id of a call that is over. Those that wait behind it are copies, unless it was the
-// copy itself: then the next takes its place.
-func (r *Reducer) settle(c *call) {
-	if r.byClient[c.ClientID] != c {
-		return
-	}
-	delete(r.byClient, c.ClientID)
-	behind := c.behind
-	c.behind = nil
-	if !c.rejected {
-		r.remember(c.ClientID)
-	}
-	for i, next := range behind {
-		switch {
-		case next.done:
-		case c.rejected:
-			next.behind = behind[i+1:]
-			r.admit(next)
-			return
-		default:
-			r.answer(next, conflict())
-		}
-	}
-}
-
-func (r *Reducer) remember(id string) {
-	if r.now-r.usedFrom >= idKept || len(r.used[0]) >= idsMost {
-		r.used[0], r.used[1], r.usedFrom = r.used[1], r.used[0], r.now
-		clear(r.used[0])
-	}
-	r.used[0][id] = struct{}{}
-}
-
-func (r *Reducer) wasUsed(id string) bool {
-	_, late := r.used[0][id]
-	_, early := r.used[1][id]
-	return late || early
-}
-
-// onDeadline ends what is out, as the node expects at the deadline, and answers even if the node does not.
-func (r *Reducer) onDeadline(id uint64) {
-	c := r.calls[id]
-	if c == nil {
-		return
-	}
-	for _, d := range c.delegations {
-		if !d.over {
-			r.abandon(d)
-			r.end(d, brain.TimedOut, nil)
-		}
-	}
-	if !c.done { // held by the node, or forgotten
-		r.answer(c, r.unserved(c))
-		r.tell(&brain.ClientGone{ID: c.brainID})
-	}
-	r.forget(c)
-}
-
-// answer gives the final answer; the first wins.
-func (r *Reducer) answer(c *call, reply Reply) {
-	if c == nil || c.done {
-		return
-	}
-	c.done = true
-	r.emit(Answer{c.ID, reply})
-	r.settle(c)
-	r.forget(c)
-}
-
-func (r *Reducer) forget(c *call) {
-	if c.done && c.out == 0 {
-		delete(r.calls, c.ID)
-		delete(r.byBrain, c.brainID)
-	}
-}
-
-// overloadReply is a refusal: trying again is harmless, after the stated time.
-func overloadReply(after time.Duration) Reply {
-	h := http.Header{}
-	if after > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	}
-	return Reply{Status: http.StatusServiceUnavailable, Header: h, Body: []byte("overloaded\n")}
-}
-
-// unserved is the answer where the node has none: a refusal as long as nothing was sent, since then trying
-// again is harmless whatever the class.
-func (r *Reducer) unserved(c *call) Reply {
-	if c.waiting {
-		return conflict()
-	}
-	if len(c.delegations) > 0 {
-		return failure()
-	}
-	if !r.cfg.RetryAfter {
-		return overloadReply(0)
-	}
-	return overloadReply(r.cfg.MaxRetryAfter / 2)
-}
-
-func failure() Reply {
-	return Reply{Status: http.StatusBadGateway, Header: http.Header{}, Body: []byte("failed\n")}
-}
-
-// conflict answers the copy of an id. It is no refusal: the call that the id belongs to may have run.
-func conflict() Reply {
-	return Reply{Status: http.StatusConflict, Header: http.Header{}, Body: []byte("X-Request-Id is in use\n")}
-}
-
-// unusable says that an app node answered, and that the fault is the request's: no other would do better.
-func unusable(status int) bool {
-	return status >= 400 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
-}
-
-// ---- delegations ----
-
-func (r *Reducer) send(c *call, a *brain.Action) {
-	if c == nil {
-		return
-	}
-	d := &delegation{call: c, attempt: len(c.delegations), srv: r.servers[a.Server], sent: r.now}
-	c.delegations = append(c.delegations, d)
-	c.out++
-	if c.done || d.srv == nil || d.attempt >= r.cfg.MaxAttempts {
-		r.end(d, brain.NeverSent, nil)
-		return
-	}
-	r.place(d)
-}
-
-// place puts a delegation on the latest-used idle connection that has settled, else on the one that has rested for
-// the longest, else on a new one.
-func (r *Reducer) place(d *delegation) {
-	if d.call.done || d.srv.gone { // over, or nobody there, while the connection was being made
-		r.end(d, brain.NeverSent, nil)
-		return
-	}
-	for len(d.srv.idle) > 0 {
-		at := len(d.srv.idle) - 1
-		for at > 0 && r.now-d.srv.idle[at].idleSince < settleFor {
-			at--
-		}
-		k := d.srv.idle[at]
-		if r.now-k.idleSince >= r.idleFor() {
-			r.close(k)
-			continue
-		}
-		d.srv.idle = slices.Delete(d.srv.idle, at, at+1)
-		r.exchange(k, d)
-		return
-	}
-	if len(r.conns) >= r.budget && !r.closeOldest() {
-		if r.now >= r.sayFullAt { // not once a call
-			r.sayFullAt = r.now + time.Second
-			r.emit(Log{"delegation: every connection of the descriptor budget is in use"})
-		}
-		r.end(d, brain.ConnectFailed, nil)
-		return
-	}
-	r.lastConn++
-	k := &conn{id: r.lastConn, srv: d.srv, state: dialing, delg: d}
-	d.conn = k
-	r.conns[k.id], d.srv.conns[k.id] = k, k
-	r.emit(Dial{k.id, d.srv.address, r.cfg.ConnectTimeout})
-}
-
-func (r *Reducer) exchange(k *conn, d *delegation) {
-	k.state, k.delg, d.conn = busy, d, k
-	r.emit(Exchange{k.id, d.call.Call, d.call.Deadline - r.now})
-}
-
-// abandon gives a delegation up: the app node sees its connection close. A dial goes on, for the pool.
-func (r *Reducer) abandon(d *delegation) {
-	if k := d.conn; k != nil {
-		if k.state == busy {
-			r.close(k)
-		}
-		k.delg, d.conn = nil, nil
-	}
-}
-
-// end tells the node of the one end of a delegation.
-func (r *Reducer) end(d *delegation, o brain.Outcome, report []float64) {
-	c := d.call
-	d.over = true
-	c.out--
-	r.tell(&brain.AttemptEnded{ID: c.brainID, Attempt: d.attempt, Server: d.srv.id, Outcome: o,
-		Took: r.now - d.sent, Final: c.done, Report: report})
-	r.forget(c)
-}
-
-// ---- connections ----
-
-func (r *Reducer) onDialed(e Dialed) {
-	k := r.conns[e.Conn]
-	if k == nil || k.state != dialing {
-		return
-	}
-	d := k.delg
-	switch {
-	case e.Err != nil:
-		r.close(k)
-		if d != nil {
-			d.conn = nil
-			r.end(d, brain.ConnectFailed, nil)
-		}
-	case k.doomed:
-		r.close(k)
-		if d != nil {
-			r.place(d) // at the new address
-		}
-	case d != nil:
-		r.exchange(k, d)
-	default:
-		r.rest(k)
-	}
-}
-
-func (r *Reducer) onExchanged(e Exchanged) {
-	k := r.conns[e.Conn]
-	if k == nil || k.state != busy {
-		return
-	}
-	d := k.delg
-	k.delg, d.conn = nil, nil
-	if e.Reply != nil && e.Reuse && e.Written == Whole {
-		r.rest(k)
-	} else {
-		r.close(k)
-	}
-	switch {
-	case e.Reply == nil && e.Written == Nothing:
-		// The app node closed an idle connection just before: no byte was sent, so this was no attempt.
-		r.place(d)
-	case e.Reply == nil && e.Written == Partly:
-		r.end(d, brain.ConnectFailed, nil)
-	case e.Reply == nil:
-		r.end(d, brain.Dropped, nil)
-	case e.Reply.Status == http.StatusOK:
-		r.answer(d.call, *e.Reply)
-		r.end(d, brain.OK, e.Report)
-	case e.Shed:
-		r.end(d, brain.Shed, e.Report)
-	case unusable(e.Reply.Status): // nothing that speaks for or against the app node
-		d.call.rejected = true
-		r.answer(d.call, *e.Reply)
-		r.end(d, brain.Cancelled, e.Report)
-	default:
-		r.end(d, brain.AppError, e.Report)
-	}
-}
-
-// rest puts a connection among the idle ones.
-func (r *Reducer) rest(k *conn) {
-	if k.doomed {
-		r.close(k)
-		return
-	}
-	k.state, k.idleSince, k.delg = idle, r.now, nil
-	k.srv.idle = append(k.srv.idle, k)
-	r.armSweep()
-}
-
-// close is the one place where a connection is given back.
-func (r *Reducer) close(k *conn) {
-	if k.state == idle {
-		for i, o := range k.srv.idle {
-			if o == k {
-				k.srv.idle = append(k.srv.idle[:i], k.srv.idle[i+1:]...)
-				break
-			}
-		}
-	}
-	k.state = closed
-	delete(r.conns, k.id)
-	delete(k.srv.conns, k.id)
-	r.emit(Close{k.id})
-}
-
-// closeOldest makes room under the descriptor budget.
-func (r *Reducer) closeOldest() bool {
-	var oldest *conn
-	for _, k := range r.conns {
-		if k.state == idle && (oldest == nil || k.idleSince < oldest.idleSince ||
-			k.idleSince == oldest.idleSince && k.id < oldest.id) {
-			oldest = k
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	r.close(oldest)
-	return true
-}
-
-// idleFor is how long an idle connection is worth keeping.
-func (r *Reducer) idleFor() time.Duration {
-	return r.cfg.IdleClose - min(idleMargin, r.cfg.IdleClose/4)
-}
-
-func (r *Reducer) armSweep() {
-	if !r.sweeping {
-		r.sweeping = true
-		r.emit(Arm{min(sweepEvery, r.idleFor()), sweep{}})
-	}
-}
-
-func (r *Reducer) onSweep() {
-	r.sweeping = false
-	left := false
-	for _, s := range r.ordered {
-		for len(s.idle) > 0 && r.now-s.idle[0].idleSince >= r.idleFor() {
-			r.close(s.idle[0])
-		}
-		left = left || len(s.idle) > 0
-	}
-	if left {
-		r.armSweep()
-	}
-}
-
-// ---- registry ----
-
-func (r *Reducer) openWatch() {
-	r.watch++
-	r.watching = true
-	r.emit(Watch{r.watch, r.discovery, r.revision})
-}
-
-func (r *Reducer) onListed(l List) {
-	kind := brain.UpdateChanges
-	if l.Complete {
-		kind = brain.UpdateFull
-	}
-	r.onList(l, kind)
-}
-
-func (r *Reducer) onList(l List, kind brain.UpdateKind) {
-	r.revision = max(r.revision, l.Revision)
-	if l.Complete {
-		r.revision = l.Revision // whatever came before, the list is this one
-	}
-	ready := false
-	for i := range l.Members {
-		m := &l.Members[i]
-		ready = ready || m.State == brain.Ready
-		s := r.servers[m.Server]
-		if m.State == brain.Gone {
-			if s != nil {
-				r.drop(s)
-			}
-			continue
-		}
-		if s == nil {
-			s = &server{id: m.Server, conns: map[uint64]*conn{}}
-			r.servers[m.Server], r.ordered = s, append(r.ordered, s)
-		}
-		// What is open to an old address, or was to the process before the last start, leads elsewhere or nowhere.
-		if l.Addresses[i] != "" && l.Addresses[i] != s.address || m.Started != s.started {
-			s.address, s.started = cmp.Or(l.Addresses[i], s.address), m.Started
-			r.doom(s)
-		}
-	}
-	if l.Complete {
-		for _, s := range slices.Clone(r.ordered) {
-			if !slices.ContainsFunc(l.Members, func(m brain.Member) bool { return m.Server == s.id }) {
-				r.drop(s)
-			}
-		}
-	}
-	l.Members = append(l.Members, r.displaced()...)
-	r.tell(&brain.FleetUpdate{Kind: kind, Members: l.Members})
-	// Without a server every call would only be held, so readiness waits for one.
-	if !r.readied && ready {
-		r.readied = true
-		r.emit(Ready{})
-	}
-}
-
-// displaced drops the servers at whose address another has started since, and gives the entries that tell the node:
-// that they are gone may be listed only later, and until then their calls would reach the new one.
-func (r *Reducer) displaced() (gone []brain.Member) {
-	for _, s := range slices.Clone(r.ordered) {
-		if slices.ContainsFunc(r.ordered, func(o *server) bool { return o.address == s.address && o.started > s.started }) {
-			r.drop(s)
-			gone = append(gone, brain.Member{Server: s.id, State: brain.Gone})
-		}
-	}
-	return gone
-}
-
-// drop takes a server out of the state for good; on a long day most of those ever listed are gone.
-func (r *Reducer) drop(s *server) {
-	s.gone = true
-	delete(r.servers, s.id)
-	r.ordered = slices.DeleteFunc(r.ordered, func(o *server) bool { return o == s })
-	r.doom(s)
-}
-
-// doom closes what is open to a server, busy connections and dials at their end.
-func (r *Reducer) doom(s *server) {
-	for len(s.idle) > 0 {
-		r.close(s.idle[0])
-	}
-	for _, k := range s.conns {
-		k.doomed = true
-	}
-}
-
 func (Started) event()    {}
 func (Reloaded) event()   {}
 func (Arrived) event()    {}
 func (ClientGone) event() {}
 func (Dialed) event()     {}
+func (Flowing) event()    {}
 func (Exchanged) event()  {}
 func (Lost) event()       {}
 func (Listed) event()     {}
