Cause what can go wrong with answers that flow, in tests of each part

Need: the states between commit and end are new; each hard case needs a test that causes it. An upload whose body ends early counts as the client's fault.

--- a/brain/failures_test.go
+++ b/brain/failures_test.go
@@ -528,3 +528,43 @@
 		t.Errorf("figure %v at once, %v after 2 s", young, a.figure)
 	}
 }
+
+// An answer that flows belongs to the client: other copies are called off at once and nothing is sent or called off for
+// it later. It holds its place in the load of its server until it ends, but a long flow is no silence.
+func TestAFlowHoldsItsPlaceAndIsNoSilence(t *testing.T) {
+	cfg := testSettings()
+	b := newBed(cfg, members(2))
+	for range 40 { // the module learns how long answers take, and earns its budget
+		id, acts := b.ask(read)
+		b.now += 5 * ms
+		b.end(id, 0, acts[0].Server, OK, 5*ms)
+	}
+	id, acts := b.ask(read)
+	first := only(acts, Send)[0].Server
+	var second []Action
+	for until := b.now + 400*ms; len(second) == 0; b.now += 10 * ms {
+		if b.now > until {
+			t.Fatal("no second copy")
+		}
+		second = only(b.do(&TimerFired{Cookie: cookieOverdue}), Send)
+	}
+	acts = b.do(&StreamBegun{ID: id, Attempt: 0, Server: first})
+	if len(acts) != 1 || acts[0].Kind != Cancel || acts[0].Attempt != 1 {
+		t.Fatalf("%+v", acts)
+	}
+	if acts = b.do(&AttemptEnded{ID: id, Attempt: 1, Server: second[0].Server, Outcome: Cancelled}); len(only(acts, Send)) != 0 {
+		t.Errorf("%+v", acts)
+	}
+	if again := b.do(&StreamBegun{ID: id, Attempt: 0, Server: first}); len(again) != 0 {
+		t.Errorf("a second word of it: %+v", again)
+	}
+	s := b.node.byID[first]
+	b.now += 3 * time.Second
+	if s.inflight != 1 || s.load <= 0 || b.node.stalled(&s.by[read]) || s.by[read].inflight != 0 {
+		t.Errorf("in flight %d, load %v, stalled %v, waited for %d", s.inflight, s.load, b.node.stalled(&s.by[read]), s.by[read].inflight)
+	}
+	acts = b.do(&AttemptEnded{ID: id, Attempt: 0, Server: first, Outcome: Dropped, Took: 5 * ms, Final: true})
+	if len(only(acts, Send))+len(only(acts, Fail))+len(only(acts, Refuse)) != 0 || s.inflight != 0 || s.by[read].inflight != 0 || len(b.node.reqs) != 0 {
+		t.Errorf("%+v, in flight %d and %d, %d requests", acts, s.inflight, s.by[read].inflight, len(b.node.reqs))
+	}
+}
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"pewterrudder/internal/flow"
 	"pewterrudder/internal/message"
 	"pewterrudder/internal/reducer"
 )
@@ -324,3 +326,190 @@
 	}
 	<-ended
 }
+
+// lendable is a large answer whose beginning is held and whose rest the test gives.
+func lendable(room *flow.Room, length int, held string) (reducer.Reply, *io.PipeWriter) {
+	lease, err := room.Take(nil, 0)
+	if err != nil {
+		panic(err)
+	}
+	rest, more := io.Pipe()
+	m := &message.Answer{Status: 200, Header: http.Header{}, Trailer: new(http.Header),
+		Flow: flow.New(lease, append(lease.Held(), held...), rest, 1<<30)}
+	if length >= 0 {
+		m.Header.Set("Content-Length", strconv.Itoa(length))
+	}
+	return reducer.Reply{Kind: reducer.Served, Message: m}, more
+}
+
+// What flows reaches the client piece by piece, as it comes, and whole; the memory comes back; the connection is used on.
+func TestAnAnswerFlows(t *testing.T) {
+	f := newFront(t, 10)
+	c := f.dial()
+	for _, length := range []int{9, -1} {
+		c.send(lookup, "")
+		call := (<-f.events).(reducer.Arrived).Call
+		room := flow.NewRoom(1)
+		reply, more := lendable(room, length, "abc")
+		f.Answer(call.ID, reply)
+		resp, err := http.ReadResponse(c.Reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, piece := range []string{"abc", "def", "ghi"} { // each before the next is there
+			if piece != "abc" {
+				io.WriteString(more, piece)
+			}
+			got := make([]byte, 3)
+			if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != piece {
+				t.Fatalf("%q %v, want %q", got, err, piece)
+			}
+		}
+		if length < 0 {
+			reply.Message.(*message.Answer).Trailer = &http.Header{"X-Sum": {"5"}}
+		}
+		more.Close()
+		if rest, err := io.ReadAll(resp.Body); len(rest) != 0 || err != nil {
+			t.Errorf("%q %v", rest, err)
+		}
+		if length < 0 && resp.Trailer.Get("X-Sum") != "5" {
+			t.Errorf("trailer %v", resp.Trailer)
+		}
+		c.send("GET /health/ready HTTP/1.1\nHost: x\n", "").answer() // the same connection
+		if now, _ := room.Lent(); now != 0 {
+			t.Errorf("%d bytes still lent", now)
+		}
+	}
+}
+
+// A break in the middle must show: a body short of its length, or chunks without their last.
+func TestABrokenFlowShows(t *testing.T) {
+	for _, length := range []int{100, -1} {
+		f := newFront(t, 10)
+		c := f.dial().send(lookup, "")
+		call := (<-f.events).(reducer.Arrived).Call
+		room := flow.NewRoom(1)
+		reply, more := lendable(room, length, "abc")
+		f.Answer(call.ID, reply)
+		io.WriteString(more, "def")
+		more.CloseWithError(io.ErrUnexpectedEOF)
+		resp, err := http.ReadResponse(c.Reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(resp.Body); err == nil || string(got) != "abcdef" {
+			t.Errorf("%q %v", got, err)
+		}
+		if _, err := c.ReadByte(); err == nil {
+			t.Error("the connection goes on")
+		}
+		f.idle(room)
+	}
+}
+
+// idle waits until nothing is lent any more.
+func (f *front) idle(room *flow.Room) {
+	f.t.Helper()
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		if now, _ := room.Lent(); now == 0 {
+			return
+		} else if time.Now().After(until) {
+			f.t.Fatalf("%d bytes still lent", now)
+		}
+	}
+}
+
+// A client that leaves while nothing comes for it is told of, and one that takes nothing ends the flow by itself: when it
+// has been idle for too long, or at the call's deadline. One that takes little, but something, is waited for.
+func TestAFlowWithoutItsClient(t *testing.T) {
+	f := newFront(t, 10)
+	c := f.dial().send(lookup, "")
+	call := (<-f.events).(reducer.Arrived).Call
+	room := flow.NewRoom(1)
+	reply, more := lendable(room, -1, "abc")
+	f.Answer(call.ID, reply)
+	c.ReadByte()
+	c.Close()
+	if gone, ok := (<-f.events).(reducer.ClientGone); !ok || gone.Call != call.ID {
+		t.Fatalf("%+v", gone)
+	}
+	more.CloseWithError(net.ErrClosed) // as the delegation does
+	f.idle(room)
+
+	for name, idle := range map[string]time.Duration{"idle": 40 * time.Millisecond, "deadline": time.Hour} {
+		f := newFront(t, 10)
+		f.bounds.ClientIdle = idle
+		c := f.dial()
+		c.send(lookup, "")
+		call := (<-f.events).(reducer.Arrived).Call
+		room := flow.NewRoom(1)
+		reply, more := lendable(room, -1, "abc")
+		f.Answer(call.ID, reply)
+		endless := make(chan struct{})
+		go func() {
+			defer close(endless)
+			piece := make([]byte, 1<<20)
+			for {
+				if _, err := more.Write(piece); err != nil {
+					return
+				}
+			}
+		}()
+		<-reply.Message.(*message.Answer).Flow.Ended()
+		if err := reply.Message.(*message.Answer).Flow.Err(); err != flow.ErrStopped {
+			t.Errorf("%s: %v", name, err)
+		}
+		more.CloseWithError(net.ErrClosed)
+		<-endless
+		f.idle(room)
+	}
+}
+
+// An upload goes on to whoever reads it, and a 100 Continue goes to the client when that begins; an answer in its middle
+// ends it and the connection; where uploads are not taken they are refused unread.
+func TestAnUploadFlows(t *testing.T) {
+	f := newFrontTaking(t, 10, 1<<20)
+	head := "POST" + lookup[3:] + "Content-Length: 100000\n"
+	body := strings.Repeat("0123456789", 10000)
+	c := f.dial().send(head+"Expect: 100-continue\n", "")
+	call := (<-f.events).(reducer.Arrived).Call
+	up := sent(call).Upload
+	if !call.OneShot || up == nil || up.Length != 100000 {
+		t.Fatalf("%+v", call)
+	}
+	if c.Buffered() != 0 {
+		t.Error("told to go on before anybody reads")
+	}
+	got := make(chan string)
+	go func() {
+		all, _ := io.ReadAll(up)
+		got <- string(all)
+	}()
+	if resp, err := http.ReadResponse(c.Reader, nil); err != nil || resp.StatusCode != 100 {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	io.WriteString(c, body)
+	if all := <-got; all != body {
+		t.Errorf("%d bytes", len(all))
+	}
+	f.Answer(call.ID, served("kept"))
+	if resp, text := c.answer(); text != "kept" || resp.Close {
+		t.Errorf("%+v %q", resp, text)
+	}
+	c.send(head, body[:1000])
+	call = (<-f.events).(reducer.Arrived).Call
+	go io.Copy(io.Discard, sent(call).Upload)
+	for !sent(call).Upload.Touched() {
+		time.Sleep(time.Millisecond)
+	}
+	f.Answer(call.ID, served("enough"))
+	if resp, text := c.answer(); text != "enough" || !resp.Close {
+		t.Errorf("%+v %q", resp, text)
+	}
+	if _, err := c.ReadByte(); err == nil {
+		t.Error("the connection goes on")
+	}
+	if resp, _ := f.dial().send("POST"+lookup[3:]+"Content-Length: 1048577\n", "").answer(); resp.StatusCode != 413 {
+		t.Errorf("%d for an upload over the limit", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/config/service_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The example that operators start from says what is in force without it, key for key.
+func TestTheExampleHoldsTheDefaults(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Service // nothing filled in: a key that the example lacks would differ
+	if err := s.read(raw); err != nil || s != DefaultService() {
+		t.Errorf("%+v, %v; the defaults are %+v", s, err, DefaultService())
+	}
+	if f := s.Flow; f.Room(Limits{MemoryMB: 32}) != 4<<20 || f.Wait() != 250*time.Millisecond || f.ClientIdle() != 2*time.Second || f.Stall() != 0 {
+		t.Errorf("%+v", f)
+	}
+}
+
+func TestTheSettingsFileIsTakenUp(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(`{"flow": {"stall_ms": 40.5, /* and */ "max_upload_bytes": 1000000,}} // so`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := LoadService(path)
+	if err != nil || s.Flow.Stall() != 40500*time.Microsecond || s.Flow.MaxUploadBytes != 1e6 || s.Flow.MaxAnswerBytes != 16<<20 {
+		t.Errorf("%+v %v", s, err)
+	}
+}
+
+func TestAFaultInTheSettingsFileIsNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"flow": {"max_answer_bytes": 65535}}`: "flow.max_answer_bytes",
+		`{"flow": {"max_upload_bytes": -1}}`:    "flow.max_upload_bytes",
+		`{"flow": {"memory_share": 0}}`:         "flow.memory_share",
+		`{"flow": {"memory_share": 0.6}}`:       "flow.memory_share",
+		`{"flow": {"wait_ms": -1}}`:             "flow.wait_ms",
+		`{"flow": {"stall_ms": 1e9}}`:           "flow.stall_ms",
+		`{"flow": {"client_idle_ms": 0}}`:       "flow.client_idle_ms",
+		`{"flow": {"wait_ms": "long"}}`:         "flow.wait_ms",
+		`{"flow": {"stalls_ms": 1}}`:            "stalls_ms",
+		`{"flow": {`:                            "line 1",
+	} {
+		path := filepath.Join(t.TempDir(), "settings.json")
+		os.WriteFile(path, []byte(text), 0o600)
+		if _, err := LoadService(path); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v, want one naming %s", text, err, want)
+		}
+	}
+	if _, err := LoadService(filepath.Join(t.TempDir(), "none.json")); err == nil {
+		t.Error("a file that is not there")
+	}
+}
--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -43,6 +43,8 @@
 	room   *flow.Room // for one flow
 	node   net.Conn
 	read   *bufio.Reader
+
+	stall, flowStall time.Duration
 }
 
 func newLink(t *testing.T) *link {
@@ -51,7 +53,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	k := &link{t: t, events: make(chan reducer.Event, 10)}
+	k := &link{t: t, stall: 20 * time.Second, flowStall: 20 * time.Second, events: make(chan reducer.Event, 10)}
 	k.room = flow.NewRoom(1)
 	k.set = New(func(e reducer.Event) { k.events <- e }, []string{"utilization", "backlog"},
 		Bounds{Largest: 1 << 20, Room: k.room, Wait: 20 * time.Second})
@@ -75,7 +77,7 @@
 func (k *link) sendAs(call *message.Call) {
 	call.Request = &http.Request{Method: "POST", Host: "origin.svc", RequestURI: "/booking//a%2Fb?q=1;2&x=%zz",
 		Header: http.Header{"X-Request-Id": {"9b1f"}, "Idempotency-Key": {"5c"}, "Expect": {"100-continue"}}}
-	k.set.Exchange(reducer.Exchange{Conn: 1, Wait: 300 * time.Millisecond, Stall: 20 * time.Second, FlowStall: 20 * time.Second,
+	k.set.Exchange(reducer.Exchange{Conn: 1, Wait: 300 * time.Millisecond, Stall: k.stall, FlowStall: k.flowStall,
 		Call: &reducer.Call{Message: call}})
 }
 
--- a/internal/flow/upload.go
+++ b/internal/flow/upload.go
@@ -20,6 +20,7 @@
 	clock    func() time.Time
 
 	using   sync.Mutex // held through a Read
+	got     int64      // under using
 	mu      sync.Mutex // guards the deadline, stopped and whole
 	stopped bool
 	whole   bool
@@ -41,6 +42,9 @@
 	}
 	u.touched.Store(true)
 	n, err := u.body.Read(p)
+	if u.got += int64(n); err == io.EOF && u.got < u.Length {
+		err = io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		u.end()
 	} else if err != nil && u.stop(false) {
