Have every planted fault in the flow's parts fail a test

Change: tests of a flow that nobody reads, a copy that cannot be called off, an upload's second copy, a slow reader, room given back early, what the module hears of a flow's end. Three lines that no fault could be told by went: a newcomer cannot pass those that wait, since all ask for the same.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -438,9 +438,13 @@
 
 	for name, idle := range map[string]time.Duration{"idle": 40 * time.Millisecond, "deadline": time.Hour} {
 		f := newFront(t, 10)
-		f.bounds.ClientIdle = idle
+		says := lookup
+		if f.bounds.ClientIdle = idle; name == "idle" { // the deadline is out of reach
+			f.deadlines[0] = time.Hour
+			says = strings.Replace(lookup, "480m", "3600000m", 1)
+		}
 		c := f.dial()
-		c.send(lookup, "")
+		c.send(says, "")
 		call := (<-f.events).(reducer.Arrived).Call
 		room := flow.NewRoom(1)
 		reply, more := lendable(room, -1, "abc")
@@ -469,6 +473,7 @@
 // ends it and the connection; where uploads are not taken they are refused unread.
 func TestAnUploadFlows(t *testing.T) {
 	f := newFrontTaking(t, 10, 1<<20)
+	f.bounds.ClientIdle = time.Hour // so that nothing here ends by itself
 	head := "POST" + lookup[3:] + "Content-Length: 100000\n"
 	body := strings.Repeat("0123456789", 10000)
 	c := f.dial().send(head+"Expect: 100-continue\n", "")
@@ -513,3 +518,47 @@
 		t.Errorf("%d for an upload over the limit", resp.StatusCode)
 	}
 }
+
+// A client that takes a little now and then is no idle one: its patience counts from the last byte that it took, not from
+// the beginning of a piece that is too large for the buffers between.
+func TestAClientThatReadsSlowlyIsWaitedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	far.(*net.TCPConn).SetReadBuffer(8 << 10)
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.(*net.TCPConn).SetWriteBuffer(8 << 10)
+	k := &client{TCPConn: nc.(*net.TCPConn)}
+	k.flow(time.Now().Add(20*time.Second), time.Second)
+	wrote := make(chan error, 1)
+	go func() {
+		n, err := k.Write(make([]byte, 400<<10))
+		if err == nil && n != 400<<10 {
+			err = io.ErrShortWrite
+		}
+		wrote <- err
+	}()
+	read, tick := 0, time.NewTicker(40*time.Millisecond) // 1.6 s in all, past the patience
+	defer tick.Stop()
+	for range 40 {
+		<-tick.C
+		n, err := io.ReadFull(far, make([]byte, 10<<10))
+		if read += n; err != nil {
+			t.Fatalf("after %d bytes: %v, %v", read, err, <-wrote)
+		}
+	}
+	if err := <-wrote; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -44,8 +44,7 @@
 	select {
 	case reply := <-to:
 		resp := a.response(r, call, reply)
-		if up := out.Upload; up != nil && !up.Whole() { // an answer ends it
-			up.Interrupt()
+		if up := out.Upload; up != nil && !up.Whole() { // an answer ends it, at the end of the handler
 			resp.Header.Set("Connection", "close")
 		}
 		return resp, nil
--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	k := &link{t: t, stall: 20 * time.Second, flowStall: 20 * time.Second, events: make(chan reducer.Event, 10)}
+	k := &link{t: t, stall: time.Hour, flowStall: time.Hour, events: make(chan reducer.Event, 10)}
 	k.room = flow.NewRoom(1)
 	k.set = New(func(e reducer.Event) { k.events <- e }, []string{"utilization", "backlog"},
 		Bounds{Largest: 1 << 20, Room: k.room, Wait: 20 * time.Second})
@@ -155,12 +155,15 @@
 		{"HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nskip", 0, false, false, nil},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nskipHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nskip", 200, false, false, nil},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal", 0, false, false, nil},
+		{"HTTP/1.1 200 OK\r\nX-Length: 10\r\nContent-length: 10\r\n\r\nskip", 0, false, false, nil},
 		{"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 90000) + "\r\n\r\n", 0, false, false, nil},
 		{"FTP says hello\r\n\r\n", 0, false, false, nil},
 		{strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9), 0, false, false, nil},
 		{"", 0, false, false, nil},
 	} {
-		e := newLink(t).exchange(c.says)
+		k := newLink(t)
+		e := k.exchange(c.says)
+		k.lentNothing()
 		status, want := 0, reducer.Broke
 		if e.Err == nil {
 			switch c.status {
--- a/internal/delegation/flow_test.go
+++ b/internal/delegation/flow_test.go
@@ -153,7 +153,9 @@
 		t.Run(name, func(t *testing.T) {
 			k := newLink(t)
 			if c.want == reducer.Stalled {
-				k.stall, k.flowStall = 40*time.Millisecond, 60*time.Millisecond
+				if k.stall = 40 * time.Millisecond; c.commit {
+					k.stall, k.flowStall = k.flowStall, k.stall
+				}
 			}
 			k.send([]byte("skip"))
 			k.asked()
@@ -205,6 +207,18 @@
 	}
 }
 
+// A flow that nobody reads, since its client's side waits for the client or has never come for it, ends with the close.
+func TestAFlowThatNobodyReadsIsCalledOff(t *testing.T) {
+	k := newLink(t)
+	k.send([]byte("skip"))
+	k.asked()
+	k.says(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 300<<10, noise(200<<10)), false)
+	f := (<-k.events).(reducer.Flowing).Message.(*message.Answer).Flow
+	k.set.Close(reducer.Close{Conn: 1})
+	<-f.Ended()
+	k.lentNothing()
+}
+
 // With all memory lent, a large answer waits, is let in when some comes back, and else told of as what it is.
 func TestALargeAnswerWithoutRoom(t *testing.T) {
 	for _, comesBack := range []bool{true, false} {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -16,8 +16,7 @@
 	mu     sync.Mutex
 	held   []byte
 	lease  *Lease
-	opened bool // the client's side has it
-	closed bool // and is done with it
+	opened bool // the client's side has it, and will close it
 	err    error
 
 	rest  io.Reader // used by the one that calls Read alone
@@ -72,7 +71,7 @@
 	defer f.mu.Unlock()
 	if f.err == nil {
 		f.err, f.held = err, nil
-		if f.opened && !f.closed {
+		if f.opened {
 			f.lease.Shrink()
 		} else {
 			f.lease.Release()
@@ -86,7 +85,6 @@
 func (f *Flow) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.closed = true
 	if f.held = nil; f.err == nil {
 		f.err = ErrStopped
 		close(f.ended)
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -175,8 +175,12 @@
 	if lent(r) != each {
 		t.Errorf("%d lent while a part is held", lent(r))
 	}
+	f.Read(make([]byte, 2))
+	if lent(r) != Copy {
+		t.Errorf("%d lent once nothing is held", lent(r))
+	}
 	got, err := io.ReadAll(f)
-	if string(p)+string(got) != "held and the rest" || err != nil || f.Err() != io.EOF {
+	if string(p)+"d "+string(got) != "held and the rest" || err != nil || f.Err() != io.EOF {
 		t.Errorf("%q %q %v %v", p, got, err, f.Err())
 	}
 	<-f.Ended()
--- a/internal/flow/room.go
+++ b/internal/flow/room.go
@@ -55,7 +55,7 @@
 // Take lends what one body needs. It waits at most so long for it, and less if stop is closed.
 func (r *Room) Take(stop <-chan struct{}, wait time.Duration) (*Lease, error) {
 	r.mu.Lock()
-	if r.queue.Len() == 0 && r.lent+each <= r.most {
+	if r.lent+each <= r.most { // then nobody waits: all ask for the same, and are let in as soon as it is there
 		r.lend()
 		r.mu.Unlock()
 		return r.lease(), nil
@@ -80,7 +80,6 @@
 		r.giveBack(each)
 	default:
 		r.queue.Remove(place)
-		r.next() // one behind may fit, had this one been at the head
 	}
 	return nil, err
 }
--- a/internal/reducer/flow_test.go
+++ b/internal/reducer/flow_test.go
@@ -38,8 +38,10 @@
 }
 
 // twoCopies has one call out on two connections, the first of them overdue.
-func twoCopies(t *testing.T) (*world, uint64) {
-	w := newWorld(t, 4, "a:1", "b:1", "c:1")
+func twoCopies(t *testing.T, cancel bool) (*world, uint64) {
+	w := &world{t: t, now: time.Hour, cfg: settings()}
+	w.cfg.CanCancel = cancel
+	w.start(4, "a:1", "b:1", "c:1")
 	w.warm()
 	id := w.call(0, 600*ms)
 	for until := w.now + 140*ms; len(w.in(busy))+len(w.in(dialing)) < 2; w.pass(5 * ms) {
@@ -59,7 +61,7 @@
 // Two copies' heads arrive in the same instant: the first to ask is the client's, the other is called off at once; when
 // the winner breaks, nothing is left to send, and the client's one answer has been given.
 func TestTwoCopiesAskToBeCommitted(t *testing.T) {
-	w, id := twoCopies(t)
+	w, id := twoCopies(t, true)
 	b := w.in(busy)
 	if !w.flows(b[0], Good) || !w.has(closes(b[1])) {
 		t.Fatalf("%+v", w.took)
@@ -80,6 +82,41 @@
 	}
 }
 
+// Where the settings permit no cancels the other copy runs on; its answer, large or small, is too late for the client.
+func TestACopyThatCannotBeCalledOff(t *testing.T) {
+	for _, large := range []bool{true, false} {
+		w, id := twoCopies(t, false)
+		b := w.in(busy)
+		w.flows(b[0], Good)
+		if w.conns[b[1]] != busy {
+			t.Fatal("called off")
+		}
+		if large && w.flows(b[1], Good) {
+			t.Error("both flow")
+		} else if !large {
+			w.exchanged(good(b[1]))
+		}
+		w.exchanged(good(b[0]))
+		if c := w.calls[id]; c.answers != 1 || w.r.Open() != 0 {
+			t.Errorf("%+v, %d open", c, w.r.Open())
+		}
+	}
+}
+
+// An overdue upload has no second copy: a part of its body may be gone.
+func TestAnUploadHasNoSecondCopy(t *testing.T) {
+	w := newWorld(t, 4, "a:1", "b:1", "c:1")
+	w.warm()
+	w.last++
+	w.calls[w.last] = &owed{deadline: w.now + 600*ms}
+	w.do(Arrived{&Call{ID: w.last, Tenant: -1, Deadline: w.now + 600*ms, OneShot: true}})
+	for range 30 {
+		if w.pass(5 * ms); len(w.in(busy))+len(w.in(dialing)) > 1 {
+			t.Fatalf("busy %v, dialing %v", w.in(busy), w.in(dialing))
+		}
+	}
+}
+
 // Between commit and end the client leaves: the app node's connection ends in that very step.
 func TestAClientLeavesAFlow(t *testing.T) {
 	w := newWorld(t, 4, "a:1")
@@ -97,19 +134,34 @@
 	}
 }
 
-// The deadline holds for the last byte, and nobody is blamed: the next call goes to the same app node.
+// listener notes what the module hears of the ends of attempts.
+type listener struct {
+	brain.Decider
+	ends []brain.AttemptEnded
+}
+
+func (l *listener) Handle(now time.Duration, ev brain.Event, acts []brain.Action) []brain.Action {
+	if e, ok := ev.(*brain.AttemptEnded); ok {
+		l.ends = append(l.ends, *e)
+	}
+	return l.Decider.Handle(now, ev, acts)
+}
+
+// The deadline holds for the last byte, and nobody is blamed; the time that is told of is the one to the commit.
 func TestAFlowEndsAtItsDeadline(t *testing.T) {
 	w := newWorld(t, 4, "a:1")
+	l := &listener{Decider: w.r.node}
+	w.r.node = l
 	id := w.call(0, 600*ms)
 	w.dialed(1, nil)
-	w.pass(500 * ms)
-	w.flows(1, Good)
 	w.pass(100 * ms)
+	w.flows(1, Good)
+	w.pass(500 * ms)
 	if w.conns[1] != closed || w.calls[id].answers != 1 || w.r.Open() != 0 {
 		t.Errorf("%v, %+v", w.conns[1], w.calls[id])
 	}
-	if w.call(0, 600*ms); len(w.in(dialing)) != 1 {
-		t.Error("the app node is left out")
+	if len(l.ends) != 1 || l.ends[0].Outcome != brain.Cancelled || l.ends[0].Took != 100*ms || !l.ends[0].Final {
+		t.Errorf("%+v", l.ends)
 	}
 }
 
