Count what a client has acknowledged, and let an attempt that took nothing leave an upload

Need: tests on real processes showed four defects. A client that reads 4 to 64 KB/s was cut after 6 s as if it read nothing, and one that reads nothing only then, not after 2 s: room in our own buffer says little of the client. An early answer to an upload never reached its client, since net/http takes our end of the reading for the client's leaving. An attempt that ended before its first byte poisoned the upload for the next one. Change: progress is what the client's machine has acknowledged (SIOCOUTQ), looked at eight times in its patience; unsent bytes are held to 128 KiB (TCP_NOTSENT_LOWAT). Each attempt has a feed of its own, and ends the upload only if it used it. A connection that was told to end counts as gone when the kept ones are counted; a test that relied on luck waits now. x/sys joins for the two socket options.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -202,10 +202,20 @@
 	f := newFront(t, 100)
 	began := time.Now()
 	var all []*caller
-	for range 9 {
+	for i := range 9 {
 		c := f.dial().send("GET /health/ready HTTP/1.1\nHost: x\n", "")
 		c.answer()
 		all = append(all, c)
+		for until := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) { // until the server counts it as idle
+			f.conns.mu.Lock()
+			idle := len(f.conns.idle)
+			f.conns.mu.Unlock()
+			if idle == min(i+1, 6) {
+				break
+			} else if time.Now().After(until) {
+				t.Fatalf("%d idle after %d", idle, i+1)
+			}
+		}
 	}
 	for _, c := range all[:3] {
 		if _, err := c.ReadByte(); err != io.EOF {
--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -41,20 +41,24 @@
 	a.waiting[call.ID] = to
 	a.mu.Unlock()
 	a.post(reducer.Arrived{Call: call})
+	var reply reducer.Reply
 	select {
-	case reply := <-to:
-		resp := a.response(r, call, reply)
-		if up := out.Upload; up != nil && !up.Whole() { // an answer ends it, at the end of the handler
-			resp.Header.Set("Connection", "close")
-		}
-		return resp, nil
+	case reply = <-to:
 	case <-r.Context().Done():
-		a.mu.Lock()
-		delete(a.waiting, call.ID)
-		a.mu.Unlock()
-		a.post(reducer.ClientGone{Call: call.ID})
-		return nil, errGone
+		if out.Upload == nil || !out.Upload.Interrupted() {
+			a.mu.Lock()
+			delete(a.waiting, call.ID)
+			a.mu.Unlock()
+			a.post(reducer.ClientGone{Call: call.ID})
+			return nil, errGone
+		}
+		reply = <-to // it was we who ended the reading, which net/http takes for the client's leaving
 	}
+	resp := a.response(r, call, reply)
+	if up := out.Upload; up != nil && !up.Whole() { // an answer ends it, at the end of the handler
+		resp.Header.Set("Connection", "close")
+	}
+	return resp, nil
 }
 
 // response gives a final answer the form that the proxy takes.
@@ -100,8 +104,11 @@
 	m.Flow.Open()
 	nc := r.Context().Value(clientKey{}).(*client)
 	nc.flow(time.Now().Add(call.Deadline-a.now()), a.bounds.ClientIdle)
-	// A client that leaves while nothing comes for it is noticed by net/http alone.
-	stop := context.AfterFunc(r.Context(), func() { a.post(reducer.ClientGone{Call: call.ID}) })
+	// A client that leaves while nothing comes for it is noticed by net/http alone; but not while an upload is cut short.
+	stop := func() bool { return true }
+	if up := call.Message.(*message.Call).Upload; up == nil || up.Whole() {
+		stop = context.AfterFunc(r.Context(), func() { a.post(reducer.ClientGone{Call: call.ID}) })
+	}
 	return &lent{Flow: m.Flow, resp: resp, answer: m, done: func() {
 		stop()
 		nc.flow(time.Time{}, 0)
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // clients counts the clients' connections against the descriptor budget. When it is used up, one without a call
@@ -24,6 +26,7 @@
 	freed        *sync.Cond
 	open         int
 	order        uint64
+	leaving      int                // of the open ones, those that were told to end and have not yet
 	silent       map[*client]uint64 // not heard of yet, by order of arrival
 	idle         map[*client]uint64 // between calls, by order of their last answers
 }
@@ -36,38 +39,74 @@
 	leaving  bool
 	until    time.Time     // by when what flows must have been taken; zero: nothing flows
 	patience time.Duration // while the client takes nothing
+	fed      int64         // bytes written, by the one that writes alone
+	taken    int64         // of these, acknowledged when that was last looked at
+	takenAt  time.Time     // when that had grown last
 }
 
+const (
+	// looks is how often the progress of a client is looked at within its patience.
+	looks = 8
+	// unsent bounds what lies in the kernel for a client that reads slowly (TCP_NOTSENT_LOWAT): without it the send buffer
+	// grows to megabytes, which are memory as well, and what the client takes is seen long after.
+	unsent = 128 << 10
+)
+
 // flow sets the bounds of an answer that flows from now on, or lifts them.
 func (c *client) flow(until time.Time, patience time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.until, c.patience = until, patience
+	if !until.IsZero() {
+		c.takenAt = time.Now()
+		c.control(func(fd int) { unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsent) })
+	}
 }
 
-// Write has patience with a client as long as it takes something: a deadline for all of a large piece would end a
-// client that reads slowly as if it did not read.
+func (c *client) control(do func(fd int)) {
+	if raw, err := c.TCPConn.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { do(int(fd)) })
+	}
+}
+
+// Write has patience with a client as long as it takes something. That a write gets on does not show it, nor that it does
+// not: room in our own buffer comes and goes by large steps. What counts is what the client's machine has acknowledged,
+// which is what was written less what the kernel still holds (SIOCOUTQ, tcp(7)).
 func (c *client) Write(p []byte) (n int, err error) {
 	c.mu.Lock()
 	until, patience := c.until, c.patience
 	c.mu.Unlock()
+	defer func() { c.fed += int64(n) }()
 	if until.IsZero() {
 		return c.TCPConn.Write(p)
 	}
+	c.progress(0) // what was taken while we waited for the app node counts from now
+	c.takenAt = time.Now()
 	for {
-		by := time.Now().Add(patience)
+		by := time.Now().Add(patience / looks)
 		if by.After(until) {
 			by = until
 		}
 		c.TCPConn.SetWriteDeadline(by)
 		took, err := c.TCPConn.Write(p[n:])
 		n += took
-		if err == nil || took == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) {
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) || !c.progress(n) {
 			return n, err
 		}
 	}
 }
 
+// progress says whether a client still takes what it is given, n bytes of which were written since the last Write ended.
+func (c *client) progress(n int) bool {
+	held := 0
+	c.control(func(fd int) { held, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	now := time.Now()
+	if taken := c.fed + int64(n) - int64(held); taken > c.taken {
+		c.taken, c.takenAt = taken, now
+	}
+	return now.Sub(c.takenAt) < c.patience
+}
+
 func (c *client) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,17 +116,20 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-func (c *client) leave(leaving bool) {
+// leave says whether it changed anything.
+func (c *client) leave(leaving bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leaving != c.leaving {
-		c.leaving = leaving
-		at := time.Time{}
-		if leaving {
-			at = time.Unix(1, 0)
-		}
-		c.TCPConn.SetReadDeadline(at)
+	if leaving == c.leaving {
+		return false
+	}
+	c.leaving = leaving
+	at := time.Time{}
+	if leaving {
+		at = time.Unix(1, 0)
 	}
+	c.TCPConn.SetReadDeadline(at)
+	return true
 }
 
 func newClients(budget, kept int) *clients {
@@ -109,13 +151,17 @@
 		c.silent[k] = c.order
 	case http.StateIdle:
 		c.idle[k] = c.order
-		if c.open-len(c.silent) > c.kept {
+		if c.open-len(c.silent)-c.leaving > c.kept {
 			c.dismiss(c.idle)
 		}
 	case http.StateActive:
-		k.leave(false)
+		if k.leave(false) {
+			c.leaving--
+		}
 	case http.StateClosed, http.StateHijacked:
-		c.open--
+		if c.open--; k.leave(false) {
+			c.leaving--
+		}
 	}
 	c.freed.Signal()
 }
@@ -130,7 +176,9 @@
 	}
 	if oldest != nil {
 		delete(from, oldest)
-		oldest.leave(true)
+		if oldest.leave(true) {
+			c.leaving++
+		}
 	}
 }
 
--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -65,11 +65,9 @@
 	begun     bool          // the writer has found the connection quiet; under the connection's lock
 	written   chan struct{} // closed when the writer has ended
 	whole     bool          // valid once written is closed
+	feed      *feed         // of an upload
 }
 
-// spent says that a part of the call's body is gone.
-func (e *exchange) spent() bool { return e.call.Upload != nil && e.call.Upload.Touched() }
-
 // Dial opens a connection in the background.
 func (c *Connections) Dial(e reducer.Dial) {
 	k := &conn{id: e.Conn, set: c, gone: make(chan struct{})}
@@ -107,7 +105,7 @@
 	if lent != nil {
 		lent.Break(net.ErrClosed)
 	}
-	if job != nil && job.call.Upload != nil {
-		job.call.Upload.Interrupt() // its writer may be waiting for the client
+	if job != nil {
+		job.feed.stop() // its writer may be waiting for the client
 	}
 }
--- a/internal/delegation/read.go
+++ b/internal/delegation/read.go
@@ -76,7 +76,7 @@
 		k.mu.Lock()
 		job := k.job
 		if job == nil || !job.begun { // closed, or it speaks out of turn
-			k.dead = true
+			k.dead, k.job = true, nil
 			k.mu.Unlock()
 			if job == nil {
 				k.set.post(reducer.Lost{Conn: k.id})
@@ -109,7 +109,7 @@
 		if job.whole {
 			e.Written = reducer.Whole
 		}
-		if e.Spent = job.spent(); e.Err != nil && e.Spent && job.call.Upload.Failed() {
+		if e.Spent = job.feed.spent(); e.Err != nil && e.Spent && job.call.Upload.Failed() {
 			e.Result = reducer.Left // the app node has no part in it
 		}
 		k.mu.Lock()
@@ -125,14 +125,12 @@
 
 // stopWriter waits for the writer, whose socket takes nothing any more, and which may be waiting for the client.
 func (k *conn) stopWriter(job *exchange) {
-	if u := job.call.Upload; u != nil {
-		select {
-		case <-job.written:
-		default:
-			u.Interrupt()
-		}
+	select {
+	case <-job.written:
+	default:
+		job.feed.stop()
+		<-job.written
 	}
-	<-job.written
 }
 
 // answer reads one answer into e. One that is broken off, too long or not HTTP is none, as with a reset: the call may
--- a/internal/delegation/write.go
+++ b/internal/delegation/write.go
@@ -8,9 +8,11 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
+	"pewterrudder/internal/flow"
 	"pewterrudder/internal/message"
 	"pewterrudder/internal/reducer"
 )
@@ -23,6 +25,9 @@
 	}
 	job := &exchange{call: e.Call.Message.(*message.Call), stall: e.Stall, flowStall: e.FlowStall,
 		written: make(chan struct{})}
+	if up := job.call.Upload; up != nil {
+		job.feed = &feed{up: up}
+	}
 	k.mu.Lock()
 	dead := k.dead
 	if !dead {
@@ -39,7 +44,7 @@
 // write sends a call: one that is held whole in one piece, an upload as its client's side gives it.
 func (k *conn) write(job *exchange, wait time.Duration) {
 	defer close(job.written)
-	out := request(job.call, wait)
+	out := request(job, wait)
 	var wire bytes.Buffer
 	var err error
 	if job.call.Upload == nil {
@@ -77,14 +82,57 @@
 	return err == nil && got == syscall.EAGAIN
 }
 
+// feed is what one exchange has of an upload. An exchange that ends before its first byte leaves the upload whole for
+// the next, and one that ends later ends it.
+type feed struct {
+	up      *flow.Upload
+	mu      sync.Mutex
+	used    bool
+	stopped bool
+}
+
+func (f *feed) Read(p []byte) (int, error) {
+	f.mu.Lock()
+	if f.stopped {
+		defer f.mu.Unlock()
+		return 0, flow.ErrStopped
+	}
+	f.used = true
+	f.mu.Unlock()
+	return f.up.Read(p)
+}
+
+func (f *feed) stop() {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	f.stopped = true
+	used := f.used
+	f.mu.Unlock()
+	if used {
+		f.up.Interrupt()
+	}
+}
+
+// spent says that a part of the body went out, or was to, on this exchange.
+func (f *feed) spent() bool {
+	if f == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.used
+}
+
 // request gives a call the form it has on the wire to an app node: target, body and ids as the client sent them.
-func request(c *message.Call, wait time.Duration) *http.Request {
-	in := c.Request
+func request(job *exchange, wait time.Duration) *http.Request {
+	c, in := job.call, job.call.Request
 	target, query, asked := strings.Cut(in.RequestURI, "?")
 	out := &http.Request{Method: in.Method, Host: in.Host, Header: in.Header.Clone(),
 		URL: &url.URL{Opaque: target, RawQuery: query, ForceQuery: asked && query == ""}}
 	if c.Upload != nil {
-		out.Body, out.ContentLength = io.NopCloser(c.Upload), c.Upload.Length
+		out.Body, out.ContentLength = io.NopCloser(job.feed), c.Upload.Length
 	} else if len(c.Body) > 0 {
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(c.Body)), int64(len(c.Body))
 	}
--- a/internal/flow/upload.go
+++ b/internal/flow/upload.go
@@ -21,11 +21,11 @@
 
 	using   sync.Mutex // held through a Read
 	got     int64      // under using
-	mu      sync.Mutex // guards the deadline, stopped and whole
+	mu      sync.Mutex // guards the deadline, stopped, whole and failed
 	stopped bool
 	whole   bool
+	failed  bool
 	touched atomic.Bool
-	failed  atomic.Bool
 }
 
 // NewUpload makes an upload: a client that sends nothing for longer than the patience has failed.
@@ -47,8 +47,8 @@
 	}
 	if err == io.EOF {
 		u.end()
-	} else if err != nil && u.stop(false) {
-		u.failed.Store(true)
+	} else if err != nil {
+		u.fail()
 	}
 	return n, err
 }
@@ -76,23 +76,26 @@
 	return nil
 }
 
-// stop says whether it was the first to end the upload.
-func (u *Upload) stop(interrupt bool) bool {
+// fail notes that the client did not go on, unless it was we who ended its reading.
+func (u *Upload) fail() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.whole { // the connection is the acceptor's again
-		return false
+	if !u.stopped {
+		u.stopped, u.failed = true, true
 	}
-	first := !u.stopped
-	if u.stopped = true; first && interrupt {
+}
+
+// Interrupt ends the upload, a Read under way included, and does not wait for that. Once all has been read the
+// connection is the acceptor's again, and nothing is done to it.
+func (u *Upload) Interrupt() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.whole && !u.stopped {
+		u.stopped = true
 		u.deadline(time.Unix(1, 0))
 	}
-	return first
 }
 
-// Interrupt ends the upload, a Read under way included, and does not wait for that.
-func (u *Upload) Interrupt() { u.stop(true) }
-
 // Close interrupts and waits until nobody reads: from then on the client's connection is the acceptor's again.
 func (u *Upload) Close() {
 	u.Interrupt()
@@ -107,8 +110,19 @@
 	return u.whole
 }
 
+// Interrupted says that it was ended from our side.
+func (u *Upload) Interrupted() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.stopped && !u.failed
+}
+
 // Touched says that a part of the body has been read, so that it cannot be sent again.
 func (u *Upload) Touched() bool { return u.touched.Load() }
 
 // Failed says that the client did not send what it had stated.
-func (u *Upload) Failed() bool { return u.failed.Load() }
+func (u *Upload) Failed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.failed
+}
