Show how late a client that reads nothing is ended, and what lies in the kernel's queues

Need: patience with a silent client is a bound like the others, and bodies that have left the balancer for a socket's buffer are in no process's memory.

--- a/internal/lab/flowrig/balancer.go
+++ b/internal/lab/flowrig/balancer.go
@@ -30,13 +30,16 @@
 	MemoryMB int
 	Sockets  int
 	Attempts int
+	Copies   bool   // second copies are allowed
 	Settings string // the operators' settings file; empty: none
+
+	Discovery string // its address; empty: nowhere, so that the known list is all
 }
 
 // Bulk is a class for measurements: long enough for any of them.
 var Bulk = Class{Name: "bulk", Semantics: "safe", Deadline: 2 * time.Minute}
 
-// Config is the configuration file of a balancer that listens there. Discovery is nowhere: the known list is all.
+// Config is the configuration file of a balancer that listens there.
 func (s Setup) Config(listen string) string {
 	type object = map[string]any
 	var members, classes []object
@@ -48,11 +51,15 @@
 		classes = append(classes, object{"name": c.Name, "semantics": c.Semantics, "window_ms": 60000,
 			"aim_ms": c.Deadline.Milliseconds() / 2, "deadline_ms": c.Deadline.Milliseconds(), "importance": 1})
 	}
-	text, _ := json.MarshalIndent(object{"name": "n1", "listen": listen, "discovery": "127.0.0.1:1", "seed": "8c1f",
+	discovery := s.Discovery
+	if discovery == "" {
+		discovery = "127.0.0.1:1"
+	}
+	text, _ := json.MarshalIndent(object{"name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f",
 		"limits": object{"cores": 1, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
 		"known":  object{"revision": 1, "complete": true, "members": members},
 		"settings": object{"balancers": 1, "zone": "a", "discovery": "ask", "weights": "off", "categories": classes,
-			"limits": object{"max_attempts": s.Attempts, "connect_timeout_ms": 5000, "idle_close_ms": 60000,
+			"limits": object{"cancel": true, "second_copies": s.Copies, "max_attempts": s.Attempts, "connect_timeout_ms": 5000, "idle_close_ms": 60000,
 				"retry_after": true, "max_retry_after_ms": 500},
 			"rules": object{"ask_every_ms": 10000},
 			"stats": object{"how": "inline", "columns": []string{"utilization", "backlog"}}}}, "", " ")
--- a/internal/lab/flowrig/client.go
+++ b/internal/lab/flowrig/client.go
@@ -104,10 +104,15 @@
 	return fmt.Sprintf("%d, %d bytes (stated %d, chunked %v), %v", a.Status, a.Length, a.Stated, a.Chunked, a.Err)
 }
 
+// Next reads the head of whatever comes next, an interim answer included.
+func (c *Client) Next(method string) (*http.Response, error) {
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
 // Response reads the next answer's head, past interim ones; its body is read by the caller.
 func (c *Client) Response(method string) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		resp, err := c.Next(method)
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
 		}
--- a/internal/lab/flowrig/departures.go
+++ b/internal/lab/flowrig/departures.go
@@ -15,14 +15,15 @@
 type Moment string
 
 const (
-	Silent  Moment = "before the answer"             // the app node has the call and has said nothing
-	Begun   Moment = "before the commit"             // its head and 10 KB of 1 MiB are out
-	Flowing Moment = "after the commit, trickling"   // the client has its first bytes, the app node trickles
-	Full    Moment = "after the commit, socket full" // the client reads nothing and nothing fits any more
+	Silent  Moment = "before the answer"                // the app node has the call and has said nothing
+	Begun   Moment = "before the commit"                // its head and 10 KB of 1 MiB are out
+	Flowing Moment = "after the commit, trickling"      // the client has its first bytes, the app node trickles
+	Full    Moment = "after the commit, socket full"    // the client reads nothing and nothing fits any more
+	Idle    Moment = "reads nothing, past its patience" // the client stays, and reads nothing from the commit on
 )
 
 // Moments are all of them, in the order of a call's life.
-var Moments = []Moment{Silent, Begun, Flowing, Full}
+var Moments = []Moment{Silent, Begun, Flowing, Full, Idle}
 
 // DepartureRow is the time from the client's close to the app node's connection seeing its end.
 type DepartureRow struct {
@@ -54,6 +55,9 @@
 	// fullBytes is under the largest answer that passes by default, and more than the kernel's buffers on the way.
 	fullBytes = 16<<20 - 1
 	fullQuiet = 60 * time.Millisecond // nothing taken for so long: full
+	// idleWait is the patience set for a client that reads nothing, shorter than the default for the sake of the run. Its
+	// time is taken off: what is shown is by how much the end comes later than set.
+	idleWait = 400 * time.Millisecond
 )
 
 // visit is one call, from the side of the app node.
@@ -80,7 +84,7 @@
 	}
 	defer node.Close()
 	p, err := StartBalancer(program, Setup{Nodes: []string{node.Addr()}, Classes: []Class{Bulk}, MemoryMB: 192,
-		Sockets: 1024, Attempts: 1})
+		Sockets: 1024, Attempts: 1, Settings: fmt.Sprintf(`{"flow": {"client_idle_ms": %d}}`, idleWait.Milliseconds())})
 	if err != nil {
 		return nil, err
 	}
@@ -161,9 +165,14 @@
 				}
 			}
 		}
+	case Idle:
+		gone := x.Gone()
+		x.Say(head(len(body)))
+		x.Write(body) // until the end
+		v.ended <- <-gone
 	case Full:
 		x.Say(head(len(body)))
-		if !x.Stalled(body, fullQuiet) {
+		if _, full := x.Stalled(body, fullQuiet); !full {
 			v.spoil <- "the app node could write all of its answer, or its connection ended"
 			return
 		}
@@ -175,7 +184,7 @@
 // depart is the client's part: it waits for the moment, leaves, and has the time until the app node knew.
 func depart(addr, id string, m Moment, v *visit) (after time.Duration, seen bool, err error) {
 	window := 0
-	if m == Full {
+	if m == Full || m == Idle {
 		window = slowWindow
 	}
 	c, err := Dial(addr, window)
@@ -188,18 +197,23 @@
 		Header: "X-Moment: " + string(m) + "\r\n"}); err != nil {
 		return 0, false, err
 	}
-	if m == Flowing {
+	if m == Flowing || m == Idle {
 		resp, err := c.Response("GET")
 		if err == nil && resp.StatusCode != 200 {
 			err = fmt.Errorf("status %d", resp.StatusCode)
 		}
-		if err == nil {
+		if err == nil && m == Flowing {
 			_, err = io.ReadFull(resp.Body, make([]byte, committed))
 		}
 		if err != nil {
 			return 0, false, err
 		}
 	}
+	left := time.Now()
+	if m == Idle {
+		at, err := within(v.ended, idleWait+10*missedAfter)
+		return at.Sub(left) - idleWait, err == nil, nil
+	}
 	select {
 	case <-v.ready:
 	case why := <-v.spoil:
@@ -207,13 +221,20 @@
 	case <-time.After(10 * time.Second):
 		return 0, false, fmt.Errorf("the moment never came")
 	}
-	left := time.Now()
+	left = time.Now()
 	c.Close()
+	at, err := within(v.ended, missedAfter)
+	return at.Sub(left), err == nil, nil
+}
+
+func within(c <-chan time.Time, patience time.Duration) (time.Time, error) {
+	late := time.NewTimer(patience)
+	defer late.Stop()
 	select {
-	case at := <-v.ended:
-		return at.Sub(left), true, nil
-	case <-time.After(missedAfter):
-		return 0, false, nil
+	case at := <-c:
+		return at, nil
+	case <-late.C:
+		return time.Time{}, fmt.Errorf("nothing within %v", patience)
 	}
 }
 
--- a/internal/lab/flowrig/memory.go
+++ b/internal/lab/flowrig/memory.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -31,7 +33,7 @@
 	Refused   int     `json:"refused"`    // 503 or 429
 	Failed    int     `json:"failed"`     // any other end
 	Seconds   float64 `json:"seconds"`
-	Kernel    int     `json:"kernel_kb"` // of all TCP sockets of this network, both sides, at the most
+	QueuedKB  int     `json:"queued_kb"` // in the kernel's queues of its sockets, at the most
 	FirstFail string  `json:"first_fail,omitempty"`
 }
 
@@ -47,6 +49,7 @@
 	slowWindow   = 32 << 10
 	slowPiece    = 8 << 10
 	sampleEvery  = 20 * time.Millisecond
+	queuedEvery  = 10   // samples: reading every socket of the machine costs more
 	warmUpCalls  = 2000 // makes pools, stacks and the runtime's own memory, and a few collections
 	warmUpConns  = 16
 	slowPatience = 110 * time.Second // for a whole row
@@ -110,11 +113,13 @@
 	stop, sampled := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(sampled)
-		for tick := time.NewTicker(sampleEvery); ; {
+		for tick, n := time.NewTicker(sampleEvery), 0; ; {
 			if now, _, err := p.Memory(); err == nil {
 				row.SampledKB = max(row.SampledKB, now)
 			}
-			row.Kernel = max(row.Kernel, kernelKB())
+			if n++; n%queuedEvery == 0 {
+				row.QueuedKB = max(row.QueuedKB, queued(p.Addr, setup.Nodes))
+			}
 			select {
 			case <-tick.C:
 			case <-stop:
@@ -172,30 +177,51 @@
 	return Drain(resp, &Slow{R: resp.Body, Rate: rate, Piece: slowPiece})
 }
 
-// kernelKB is what the kernel holds for TCP's buffers in this network namespace: bodies that have left the balancer
-// for a client's socket are counted nowhere else.
-func kernelKB() int {
-	raw, err := os.ReadFile("/proc/net/sockstat")
+// queued is how many bytes lie in the kernel's queues of the balancer's own sockets, in both directions: bodies that
+// have left the balancer for a client's socket, or have not come in from an app node's yet, are in no process's memory.
+// The sockets are told by their ports (proc(5), /proc/net/tcp).
+func queued(listen string, nodes []string) (kb int) {
+	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
+	port := func(addr string) string {
+		_, p, _ := net.SplitHostPort(addr)
+		n, _ := strconv.Atoi(p)
+		return fmt.Sprintf("%04X", n)
+	}
+	near, far := port(listen), map[string]bool{}
+	for _, n := range nodes {
+		far[port(n)] = true
+	}
+	sum := int64(0)
 	for line := range strings.Lines(string(raw)) {
-		var inuse, orphan, tw, alloc, mem int
-		if n, _ := fmt.Sscanf(line, "TCP: inuse %d orphan %d tw %d alloc %d mem %d", &inuse, &orphan, &tw, &alloc, &mem); n == 5 {
-			return mem * os.Getpagesize() / 1024
+		f := strings.Fields(line)
+		if len(f) < 5 || f[3] == "0A" { // a listener's queue is of connections
+			continue
+		}
+		_, local, _ := strings.Cut(f[1], ":")
+		_, remote, _ := strings.Cut(f[2], ":")
+		if local != near && !far[remote] {
+			continue
+		}
+		tx, rx, _ := strings.Cut(f[4], ":")
+		for _, q := range []string{tx, rx} {
+			n, _ := strconv.ParseInt(q, 16, 64)
+			sum += n
 		}
 	}
-	return 0
+	return int(sum >> 10)
 }
 
 // Table writes the rows for people.
 func (m *Memory) Table(w io.Writer) {
 	fmt.Fprintf(w, "balancer %s, each reader %d KiB/s in pieces of %d KiB\n", m.Program, m.Rate>>10, slowPiece>>10)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "readers\tanswer KiB\tlimit MB\tsockets\tbase KiB\tpeak KiB\tsampled KiB\teach KiB\twhole\trefused\tfailed\ts\tkernel KiB\t")
+	fmt.Fprintln(t, "readers\tanswer KiB\tlimit MB\tsockets\tbase KiB\tpeak KiB\tsampled KiB\teach KiB\twhole\trefused\tfailed\ts\tqueued KiB\t")
 	for _, r := range m.Rows {
 		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%d\t%.1f\t%d\t\n", r.Readers, r.Bytes>>10, r.MemoryMB, r.Sockets,
-			r.BaseKB, r.PeakKB, r.SampledKB, r.EachKB, r.Whole, r.Refused, r.Failed, r.Seconds, r.Kernel)
+			r.BaseKB, r.PeakKB, r.SampledKB, r.EachKB, r.Whole, r.Refused, r.Failed, r.Seconds, r.QueuedKB)
 	}
 	t.Flush()
 	for _, r := range m.Rows {
--- a/internal/lab/flowrig/node.go
+++ b/internal/lab/flowrig/node.go
@@ -128,23 +128,23 @@
 	x.nc.Close()
 }
 
-// Stalled writes until nothing was taken for a while, and says so; false: the connection ended, or all was taken.
-func (x *Exchange) Stalled(p []byte, quiet time.Duration) bool {
-	for len(p) > 0 {
+// Stalled writes until nothing was taken for a while: full. Otherwise the connection ended, or all was taken. It says
+// how much was.
+func (x *Exchange) Stalled(p []byte, quiet time.Duration) (sent int, full bool) {
+	defer x.nc.SetWriteDeadline(time.Time{})
+	for sent < len(p) {
 		x.nc.SetWriteDeadline(time.Now().Add(quiet))
-		n, err := x.nc.Write(p[:min(len(p), 64<<10)])
-		p = p[n:]
-		if nerr, ok := err.(net.Error); ok && nerr.Timeout() {
+		n, err := x.nc.Write(p[sent:min(len(p), sent+64<<10)])
+		sent += n
+		if late, ok := err.(net.Error); ok && late.Timeout() {
 			if n == 0 {
-				x.nc.SetWriteDeadline(time.Time{})
-				return true
+				return sent, true
 			}
 		} else if err != nil {
-			return false
+			return sent, false
 		}
 	}
-	x.nc.SetWriteDeadline(time.Time{})
-	return false
+	return sent, false
 }
 
 // Gone tells the moment at which the balancer's side of the connection was seen to end. What is still sent by it is
