--- /dev/null
+++ b/internal/acceptor/clients.go
@@ -0,0 +1,213 @@
+package acceptor
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// clients counts the clients' connections against the descriptor budget. When it is used up, one without a call
+// makes room: one that has said nothing yet where those hold more than their part, else the one that has been idle
+// for the longest. Connections that say nothing come by hundreds, and must not keep out those that ask.
+//
+// Clients may also keep connections for good that they have used once, and the front opens a limited number: those
+// idle for the longest go where more than kept are open that have been heard of.
+//
+// Room is made by a read deadline in the past, where a close would cut off a request that comes at that moment:
+// once net/http has its header, the connection is active and keeps its place.
+type clients struct {
+	budget, kept int
+	mu           sync.Mutex
+	freed        *sync.Cond
+	open         int
+	order        uint64
+	leaving      int                // of the open ones, those that were told to end and have not yet
+	silent       map[*client]uint64 // not heard of yet, by order of arrival
+	idle         map[*client]uint64 // between calls, by order of their last answers
+}
+
+// client is a client's connection. Its read deadlines are net/http's, but for one that has to make room, and its write
+// deadlines too, but for the time that an answer flows.
+type client struct {
+	*net.TCPConn
+	mu       sync.Mutex
+	leaving  bool
+	until    time.Time     // by when what flows must have been taken; zero: nothing flows
+	patience time.Duration // while the client takes nothing
+	fed      int64         // bytes written, by the one that writes alone
+	taken    int64         // of these, acknowledged when that was last looked at
+	takenAt  time.Time     // when that had grown last
+}
+
+const (
+	// looks is how often the progress of a client is looked at within its patience.
+	looks = 8
+	// unsent bounds what lies in the kernel for a client that reads slowly (TCP_NOTSENT_LOWAT): without it the send buffer
+	// grows to megabytes, which are memory as well, and what the client takes is seen long after.
+	unsent = 128 << 10
+)
+
+// flow sets the bounds of an answer that flows from now on, or lifts them.
+func (c *client) flow(until time.Time, patience time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until, c.patience = until, patience
+	if !until.IsZero() {
+		c.takenAt = time.Now()
+		c.control(func(fd int) { unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsent) })
+	}
+}
+
+func (c *client) control(do func(fd int)) {
+	if raw, err := c.TCPConn.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { do(int(fd)) })
+	}
+}
+
+// Write has patience with a client as long as it takes something. That a write gets on does not show it, nor that it does
+// not: room in our own buffer comes and goes by large steps. What counts is what the client's machine has acknowledged,
+// which is what was written less what the kernel still holds (SIOCOUTQ, tcp(7)).
+func (c *client) Write(p []byte) (n int, err error) {
+	c.mu.Lock()
+	until, patience := c.until, c.patience
+	c.mu.Unlock()
+	defer func() { c.fed += int64(n) }()
+	if until.IsZero() {
+		return c.TCPConn.Write(p)
+	}
+	c.progress(0) // what was taken while we waited for the app node counts from now
+	c.takenAt = time.Now()
+	for {
+		by := time.Now().Add(patience / looks)
+		if by.After(until) {
+			by = until
+		}
+		c.TCPConn.SetWriteDeadline(by)
+		took, err := c.TCPConn.Write(p[n:])
+		n += took
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) || !c.progress(n) {
+			return n, err
+		}
+	}
+}
+
+// progress says whether a client still takes what it is given, n bytes of which were written since the last Write ended.
+func (c *client) progress(n int) bool {
+	held := 0
+	c.control(func(fd int) { held, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	now := time.Now()
+	if taken := c.fed + int64(n) - int64(held); taken > c.taken {
+		c.taken, c.takenAt = taken, now
+	}
+	return now.Sub(c.takenAt) < c.patience
+}
+
+func (c *client) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// leave says whether it changed anything.
+func (c *client) leave(leaving bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leaving == c.leaving {
+		return false
+	}
+	c.leaving = leaving
+	at := time.Time{}
+	if leaving {
+		at = time.Unix(1, 0)
+	}
+	c.TCPConn.SetReadDeadline(at)
+	return true
+}
+
+func newClients(budget, kept int) *clients {
+	c := &clients{budget: budget, kept: kept, silent: map[*client]uint64{}, idle: map[*client]uint64{}}
+	c.freed = sync.NewCond(&c.mu)
+	return c
+}
+
+func (c *clients) changed(nc net.Conn, s http.ConnState) {
+	k := nc.(*client)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.silent, k)
+	delete(c.idle, k)
+	c.order++
+	switch s {
+	case http.StateNew:
+		c.open++
+		c.silent[k] = c.order
+	case http.StateIdle:
+		c.idle[k] = c.order
+		if c.open-len(c.silent)-c.leaving > c.kept {
+			c.dismiss(c.idle)
+		}
+	case http.StateActive:
+		if k.leave(false) {
+			c.leaving--
+		}
+	case http.StateClosed, http.StateHijacked:
+		if c.open--; k.leave(false) {
+			c.leaving--
+		}
+	}
+	c.freed.Signal()
+}
+
+// dismiss has the longest listed of some connections end; its server goroutine tells when it has.
+func (c *clients) dismiss(from map[*client]uint64) {
+	var oldest *client
+	for k, order := range from {
+		if oldest == nil || order < from[oldest] {
+			oldest = k
+		}
+	}
+	if oldest != nil {
+		delete(from, oldest)
+		if oldest.leave(true) {
+			c.leaving++
+		}
+	}
+}
+
+// room waits until one more connection may be open.
+func (c *clients) room() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.open >= c.budget {
+		if len(c.silent) > c.budget/4 || len(c.idle) == 0 {
+			c.dismiss(c.silent)
+		} else {
+			c.dismiss(c.idle)
+		}
+		c.freed.Wait()
+	}
+}
+
+type limited struct {
+	net.Listener
+	clients *clients
+}
+
+func (c *clients) limit(l net.Listener) net.Listener { return &limited{l, c} }
+
+func (l *limited) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.clients.room() // only now: nobody has to leave while nobody comes
+	return &client{TCPConn: nc.(*net.TCPConn)}, nil
+}
