--- a/internal/lab/flowrig/node.go
+++ b/internal/lab/flowrig/node.go
@@ -128,6 +128,9 @@
 	x.nc.Close()
 }
 
+// FinishWriting sends a FIN and still listens, so that Gone tells when the balancer has ended its side.
+func (x *Exchange) FinishWriting() { x.nc.CloseWrite() }
+
 // Stalled writes until nothing was taken for a while: full. Otherwise the connection ended, or all was taken. It says
 // how much was.
 func (x *Exchange) Stalled(p []byte, quiet time.Duration) (sent int, full bool) {
