--- a/internal/delegation/flow_test.go
+++ b/internal/delegation/flow_test.go
@@ -33,6 +33,18 @@
 	io.Copy(io.Discard, r.Body)
 }
 
+// bodyBegins waits for a request's first byte of body.
+func (k *link) bodyBegins() {
+	k.t.Helper()
+	r, err := http.ReadRequest(k.read)
+	if err == nil {
+		_, err = r.Body.Read(make([]byte, 1))
+	}
+	if err != nil {
+		k.t.Fatal(err)
+	}
+}
+
 // commit waits until an answer asks to be committed, and gives the test the client's side of it.
 func (k *link) commit() *message.Answer {
 	k.t.Helper()
@@ -292,7 +304,7 @@
 	k = newLink(t) // an early answer
 	half := newUpload(strings.NewReader(body[:100<<10]), int64(len(body)))
 	k.sendAs(&message.Call{Upload: half.Upload})
-	k.read.ReadByte()
+	k.bodyBegins()
 	k.says("HTTP/1.1 409 Booked\r\nContent-Length: 0\r\n\r\n", false)
 	if e := k.ended(); e.Result != reducer.Unusable || e.Reuse || !e.Spent || e.Written != reducer.Partly {
 		t.Errorf("early answer: %+v", e)
@@ -302,7 +314,7 @@
 	k = newLink(t) // the app node goes
 	half = newUpload(strings.NewReader(body[:100<<10]), int64(len(body)))
 	k.sendAs(&message.Call{Upload: half.Upload})
-	k.read.ReadByte()
+	k.bodyBegins()
 	k.node.Close()
 	if e := k.ended(); e.Result != reducer.Broke || !e.Spent || e.Written != reducer.Partly {
 		t.Errorf("the app node goes: %+v", e)
