--- a/cmd/pewterrudder/flow_test.go
+++ b/cmd/pewterrudder/flow_test.go
@@ -95,7 +95,8 @@
 	cmd, log, dir := exec.Command(os.Args[0]), new(output), s.t.TempDir()
 	log.more = sync.NewCond(&log.mu)
 	cmd.Env = append(os.Environ(), "BE_THE_BALANCER=1")
-	for _, f := range []struct{ variable, text string }{{"RELAY_CONFIG", setup.Config(s.addr)}, {"RUDDER_SETTINGS", setup.Settings}} {
+	for _, f := range []struct{ variable, text string }{{"RELAY_CONFIG", setup.Config(s.addr)},
+		{"RUDDER_SETTINGS", setup.Settings}} {
 		if f.text == "" {
 			continue
 		}
@@ -350,7 +351,8 @@
 		if a.Err != nil || c.status != 0 && a.Status != c.status || a.Length != 0 && a.Status < 500 {
 			t.Errorf("%s: %s", c.name, a)
 		}
-		if stated := a.Header.Get("Content-Length"); c.status == 200 && stated != "" && !strings.Contains(c.text, " "+stated+"\r") {
+		stated := a.Header.Get("Content-Length")
+		if c.status == 200 && stated != "" && !strings.Contains(c.text, " "+stated+"\r") {
 			t.Errorf("%s: Content-Length %s is not the app node's", c.name, stated)
 		}
 		s.well(c.name)
@@ -435,9 +437,10 @@
 				at        int
 				committed bool // the client has its first bytes before the cut
 			}
-			cuts := []cut{{"nothing written", 0, false}, {"in the status line", 7, false}, {"in the head", len(head) / 2, false},
-				{"before the head's last byte", len(head) - 1, false}, {"after the head", at(0), false}, {"one byte in", at(1), false},
-				{"10 KB in", at(10_000), false}, {"one byte short of the commit", at(held - 1), false}, {"at the commit", at(held), false},
+			cuts := []cut{{"nothing written", 0, false}, {"in the status line", 7, false},
+				{"in the head", len(head) / 2, false}, {"before the head's last byte", len(head) - 1, false},
+				{"after the head", at(0), false}, {"one byte in", at(1), false}, {"10 KB in", at(10_000), false},
+				{"one byte short of the commit", at(held - 1), false}, {"at the commit", at(held), false},
 				{"after the commit", at(held + 100), true}, {"in the middle", at(size / 2), true}}
 			if kind != "close" {
 				cuts = append(cuts, cut{"a byte before the end", len(whole) - 1, true})
@@ -541,10 +544,12 @@
 		{"a chunk size that is none", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n\r\n"},
 		{"a chunk size past all numbers", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nfffffffffffffffff\r\nx"},
 		{"a chunk longer than its size", "Transfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n"},
-		{"the same after the commit", "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", len(bulk)) + bulk + "\r\nzz\r\n\r\n"},
+		{"the same after the commit", "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", len(bulk)) + bulk +
+			"\r\nzz\r\n\r\n"},
 	} {
 		a := s.fetch(s.plan(func(x *flowrig.Exchange) {
-			status := map[string]string{"interim answers without end": "102 Processing", "another protocol": "101 Switching Protocols"}[c.name]
+			status := map[string]string{"interim answers without end": "102 Processing",
+				"another protocol": "101 Switching Protocols"}[c.name]
 			if status == "" {
 				status = "200 OK"
 			}
@@ -1063,7 +1068,8 @@
 	close(on[winner])
 	rest, err := io.ReadAll(resp.Body)
 	got = append(got, rest...)
-	if breaks && (err == nil || !bytes.HasPrefix(bodies[winner], got)) || !breaks && (err != nil || !bytes.Equal(got, bodies[winner])) {
+	if breaks && (err == nil || !bytes.HasPrefix(bodies[winner], got)) ||
+		!breaks && (err != nil || !bytes.Equal(got, bodies[winner])) {
 		t.Errorf("%d bytes, %v", len(got), err)
 	}
 }
--- a/internal/lab/flowrig/balancer.go
+++ b/internal/lab/flowrig/balancer.go
@@ -59,8 +59,8 @@
 		"limits": object{"cores": 1, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
 		"known":  object{"revision": 1, "complete": true, "members": members},
 		"settings": object{"balancers": 1, "zone": "a", "discovery": "ask", "weights": "off", "categories": classes,
-			"limits": object{"cancel": true, "second_copies": s.Copies, "max_attempts": s.Attempts, "connect_timeout_ms": 5000, "idle_close_ms": 60000,
-				"retry_after": true, "max_retry_after_ms": 500},
+			"limits": object{"cancel": true, "second_copies": s.Copies, "max_attempts": s.Attempts,
+				"connect_timeout_ms": 5000, "idle_close_ms": 60000, "retry_after": true, "max_retry_after_ms": 500},
 			"rules": object{"ask_every_ms": 10000},
 			"stats": object{"how": "inline", "columns": []string{"utilization", "backlog"}}}}, "", " ")
 	return string(text)
--- a/internal/lab/flowrig/cpu.go
+++ b/internal/lab/flowrig/cpu.go
@@ -50,7 +50,8 @@
 			if err != nil {
 				return nil, err
 			}
-			if _, err := (Load{Addr: p.Addr, Conns: conns, Calls: calls, Bytes: size, Stock: stock, Check: round < 0}).Run(); err != nil {
+			load := Load{Addr: p.Addr, Conns: conns, Calls: calls, Bytes: size, Stock: stock, Check: round < 0}
+			if _, err := load.Run(); err != nil {
 				return nil, fmt.Errorf("%s: %w: %s", []string{program, old}[which], err, p.Log())
 			}
 			after, err := p.CPU()
--- a/internal/lab/flowrig/departures.go
+++ b/internal/lab/flowrig/departures.go
@@ -244,8 +244,8 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "leaves\tcount\tseen\tmissed\tspoiled\tp50 ms\tp99 ms\tmax ms\tunder 100 ms\t")
 	for _, r := range d.Rows {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t\n", r.Moment, r.Count, r.Seen, r.Missed, r.Spoiled, r.P50, r.P99,
-			r.Max, r.Under100)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t\n", r.Moment, r.Count, r.Seen, r.Missed,
+			r.Spoiled, r.P50, r.P99, r.Max, r.Under100)
 	}
 	t.Flush()
 	for _, r := range d.Rows {
--- a/internal/lab/flowrig/memory.go
+++ b/internal/lab/flowrig/memory.go
@@ -218,10 +218,11 @@
 func (m *Memory) Table(w io.Writer) {
 	fmt.Fprintf(w, "balancer %s, each reader %d KiB/s in pieces of %d KiB\n", m.Program, m.Rate>>10, slowPiece>>10)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "readers\tanswer KiB\tlimit MB\tsockets\tbase KiB\tpeak KiB\tsampled KiB\teach KiB\twhole\trefused\tfailed\ts\tqueued KiB\t")
+	fmt.Fprintln(t, "readers\tanswer KiB\tlimit MB\tsockets\tbase KiB\tpeak KiB\tsampled KiB\t"+
+		"each KiB\twhole\trefused\tfailed\ts\tqueued KiB\t")
 	for _, r := range m.Rows {
-		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%d\t%.1f\t%d\t\n", r.Readers, r.Bytes>>10, r.MemoryMB, r.Sockets,
-			r.BaseKB, r.PeakKB, r.SampledKB, r.EachKB, r.Whole, r.Refused, r.Failed, r.Seconds, r.QueuedKB)
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%d\t%.1f\t%d\t\n", r.Readers, r.Bytes>>10,
+			r.MemoryMB, r.Sockets, r.BaseKB, r.PeakKB, r.SampledKB, r.EachKB, r.Whole, r.Refused, r.Failed, r.Seconds, r.QueuedKB)
 	}
 	t.Flush()
 	for _, r := range m.Rows {
--- a/internal/lab/flowrig/throughput.go
+++ b/internal/lab/flowrig/throughput.go
@@ -105,9 +105,11 @@
 func (t *Throughput) Table(w io.Writer) {
 	fmt.Fprintf(w, "balancer %s against httputil.ReverseProxy, GOMAXPROCS=1 each, %d kept connections\n", t.Program, t.Conns)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "answer KiB\trounds\tcalls\tMB/s\tplain MB/s\tratio (min-max)\tmean, 95 %\tCPU ms/MB\tplain\tratio (min-max)\tmean, 95 %\t")
+	fmt.Fprintln(tw, "answer KiB\trounds\tcalls\tMB/s\tplain MB/s\tratio (min-max)\tmean, 95 %\t"+
+		"CPU ms/MB\tplain\tratio (min-max)\tmean, 95 %\t")
 	for _, r := range t.Rows {
-		fmt.Fprintf(tw, "%d\t%d\t%d\t%.0f\t%.0f\t%.3f (%.3f-%.3f)\t%.3f (%.3f-%.3f)\t%.3f\t%.3f\t%.3f (%.3f-%.3f)\t%.3f (%.3f-%.3f)\t\n",
+		fmt.Fprintf(tw, "%d\t%d\t%d\t%.0f\t%.0f\t%.3f (%.3f-%.3f)\t%.3f (%.3f-%.3f)\t"+
+			"%.3f\t%.3f\t%.3f (%.3f-%.3f)\t%.3f (%.3f-%.3f)\t\n",
 			r.Bytes>>10, r.Rounds, r.Calls, r.Balancer.Median, r.Plain.Median, r.Speed.Median, r.Speed.Min, r.Speed.Max,
 			r.SpeedMean.Ratio, r.SpeedMean.Low, r.SpeedMean.High, r.BalCPU.Median, r.PlainCPU.Median,
 			r.CPU.Median, r.CPU.Min, r.CPU.Max, r.CPUMean.Ratio, r.CPUMean.Low, r.CPUMean.High)
