--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -204,6 +204,10 @@
 		return bad("clients.honour", c.Honour)
 	case c.Impatient < 0 || c.Impatient > 1:
 		return bad("clients.impatient", c.Impatient)
+	case c.Connections < 1:
+		return bad("clients.connections", c.Connections)
+	case c.Churn < 0 || c.Churn > 1:
+		return bad("clients.churn", c.Churn)
 	case c.Patience[0] <= 0 || c.Patience[1] > 1:
 		return bad("clients.patience", c.Patience)
 	case d.Capacity <= 0:
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -172,11 +172,9 @@
 	Aim      Duration `json:"aim"`
 	Deadline Duration `json:"deadline"`
 	Worth    float64  `json:"worth"`
-	Late     float64  `json:"late"`      // share of the worth after the aim
-	Bytes    Range    `json:"bytes"`     // of an answer, drawn on a scale of powers; over 64 KiB it flows
-	Hint     bool     `json:"hint"`      // requests tell their work, roughly
-	Keys     int      `json:"keys"`      // routing keys that are in use; 0: requests have none
-	WarmKeys float64  `json:"warm_keys"` // share of the work left for a key met lately; 0: no matter
+	Late     float64  `json:"late"`  // share of the worth after the aim
+	Bytes    Range    `json:"bytes"` // of an answer, drawn on a scale of powers; over 64 KiB it flows
+	Hint     bool     `json:"hint"`  // requests tell their work, roughly
 }
 
 // Tenant is one of those who share the service.
@@ -207,20 +205,22 @@
 
 // Clients say what clients do when they are not served.
 type Clients struct {
-	Retries   int      `json:"retries"`
-	Backoff   Span     `json:"backoff"`
-	Growth    float64  `json:"growth"` // of the backoff at each further try
-	Honour    float64  `json:"honour"` // share that heeds Retry-After
-	Patience  Range    `json:"patience"`
-	Impatient float64  `json:"impatient"` // share that leaves early, at a random moment
-	Marks     bool     `json:"marks"`     // retries are marked
-	KeptFor   Duration `json:"kept_for"`  // connections without use are closed by clients after that long; 0: never
+	Retries     int     `json:"retries"`
+	Backoff     Span    `json:"backoff"`
+	Growth      float64 `json:"growth"` // of the backoff at each further try
+	Honour      float64 `json:"honour"` // share that heeds Retry-After
+	Patience    Range   `json:"patience"`
+	Impatient   float64 `json:"impatient"`   // share that leaves early, at a random moment
+	Marks       bool    `json:"marks"`       // retries are marked
+	Connections int     `json:"connections"` // kept in each zone, for good; more are opened when all are busy
+	Churn       float64 `json:"churn"`       // share of requests that come on a new connection all the same
 }
 
 // Front spreads new connections over the balancers of its zone.
 type Front struct {
 	Spread string `json:"spread"` // random, in_turn
 	Notice Span   `json:"notice"` // until it sees that a balancer is dead
+	Admit  Span   `json:"admit"`  // until it sees that one is ready
 }
 
 // Discovery keeps the list of app nodes.
@@ -325,7 +325,7 @@
 	{"drain", "app nodes are drained, then leave for good", "", 0, 0, "nodes", true, false},
 	{"replace", "app nodes are drained, and others start at their addresses under new ids", "", 0, 0, "nodes", true, false},
 	{"deploy", "app nodes are replaced in turn, one each step", "at once", 1, 1e6, "nodes", true, true},
-	{"join", "further app nodes start, cold", "", 0, 0, "nodes", false, false},
+	{"join", "so many further app nodes start, cold, like the first of the group", "", 0, 0, "nodes", false, false},
 	{"dark", "a zone's machines fall silent, its balancers with them", "", 0, 0, "network", true, false},
 	{"cut", "nothing passes between two parts of the network", "", 0, 0, "network", true, false},
 	{"cut_one_way", "nothing passes from one part of the network to another", "", 0, 0, "network", true, false},
--- a/internal/lab/world/ask.go
+++ b/internal/lab/world/ask.go
@@ -1,6 +1,10 @@
 package world
 
-import "time"
+import (
+	"time"
+
+	"pewterrudder/internal/lab/timeline"
+)
 
 // Op is what a client wants, over all its tries: the world counts worth, latency and effects by it.
 type Op struct {
@@ -9,20 +13,76 @@
 	Tenant  int // -1: none
 	Zone    int // of the client
 	Work    float64
-	Key     string
+	Hint    float64       // of the work, as the request tells it; 0: not told
 	Due     time.Duration // when the first try was due; latency counts from here
 	Until   time.Duration // when the client's patience ends, over all tries
+	Worth   float64       // of an answer in time
 	Tries   int
-	Out     int // tries not yet over
 	Settled bool
-	Worth   float64 // of an answer in time
-	Lent    int     // tries and jobs that refer to it
-	Runs    []Run   // where it may have had its effect; kept for classes that may not be repeated freely
+	Runs    []Run // where it may have had its effect; kept for classes that may not be repeated freely
 }
 
 // Run is one group of app nodes at which an Op was taken, which drops repeats for the class's window.
 type Run struct {
-	Zone  int
+	Group int
 	At    time.Duration // when the first attempt of the group came
 	Began bool
 }
+
+// Kind is how a request ends.
+type Kind uint8
+
+const (
+	Served  Kind = iota
+	Refused      // a further try is harmless
+	Failed
+	Unreached // no balancer took it
+	Left      // the client went away before its time
+	Crashed   // the balancer that had taken it died
+	Lost      // nobody answered in time
+)
+
+var kindNames = [...]string{"served", "refused", "failed", "unreached", "left", "crashed", "lost"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Outcome is a final answer.
+type Outcome struct {
+	Kind   Kind
+	After  time.Duration // a refusal's advice
+	Answer *Answer       // of the app node, where there is one
+	Closes bool          // the connection ends with it
+	// More is how long the rest takes from now on, where an answer flows; Cut: it is broken off then.
+	More time.Duration
+	Cut  bool
+}
+
+// Ask is one try of a client at a balancer.
+type Ask struct {
+	ID       uint64
+	Op       *Op
+	Retry    bool
+	Balancer int
+	Life     int
+	Sent     time.Duration
+	Deadline time.Duration // the client leaves then
+	Took     time.Duration // when the balancer had read it
+	Data     any           // the mode's own
+
+	home     *World
+	conn     *clientConn
+	timer    timeline.Timer
+	leaves   timeline.Timer
+	place    int // among the asks of its seat; -1: none
+	moved    bool
+	taken    bool
+	over     bool // as the client sees it
+	answered bool // as the balancer does
+	flows    bool
+	outcome  Outcome
+}
+
+func (a *Ask) world() *World { return a.home }
+
+// Taken says whether a balancer has read the request.
+func (a *Ask) Taken() bool { return a.taken }
--- /dev/null
+++ b/internal/lab/world/net.go
@@ -0,0 +1,512 @@
+package world
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pewterrudder/internal/lab/scenario"
+	"pewterrudder/internal/lab/timeline"
+)
+
+// Role is a kind of party on the network. With its zone it makes a place, and cuts and delays lie between places.
+type Role uint8
+
+const (
+	Balancers Role = iota
+	AppNodes
+	ClientSide
+	DiscoverySide
+	roles
+)
+
+// Place is a role in a zone.
+type Place int
+
+// Net carries messages. Those on one connection keep their order. What is sent into a cut waits there and arrives
+// after it, as it does where TCP sends again; only the connection's ends may be gone by then.
+type Net struct {
+	clock timeline.Clock
+	rng   *rand.Rand
+	zones int
+	base  []time.Duration // between places
+	extra []time.Duration
+	cuts  []int
+	held  [][]*parcel
+	// Loss of a machine is not a cut: what was sent to it is gone.
+	jitter float64
+	rate   float64 // bytes a nanosecond
+	free   []*parcel
+	links  int // open at either end
+}
+
+// firstFlow is the size up to which an answer comes in one piece; a larger one is seen to flow once so much has come.
+const firstFlow = 64 << 10
+
+// resend is how long after a cut the first of what waited comes through: half of what a sender's pauses have grown
+// to, which double, so as a share of the cut.
+const resend = 0.25
+
+func newNet(clock timeline.Clock, sc *scenario.Scenario, rng *rand.Rand) *Net {
+	zones := len(sc.Zones)
+	n := &Net{clock: clock, rng: rng, zones: zones, jitter: sc.Network.Jitter, rate: sc.Network.Rate * 1e6 / 1e9}
+	size := int(roles) * zones
+	n.base = make([]time.Duration, size*size)
+	n.extra = make([]time.Duration, size*size)
+	n.cuts = make([]int, size*size)
+	n.held = make([][]*parcel, size*size)
+	same, cross, client := draw(rng, sc.Network.Same), draw(rng, sc.Network.Cross), draw(rng, sc.Network.Client)
+	for a := range size {
+		for b := range size {
+			d := same
+			if a%zones != b%zones {
+				d = cross
+			}
+			if Role(a/zones) == ClientSide || Role(b/zones) == ClientSide {
+				d += client
+			}
+			n.base[a*size+b] = d
+		}
+	}
+	return n
+}
+
+func draw(rng *rand.Rand, s scenario.Span) time.Duration {
+	u := rng.Float64() // drawn in any case, so that a fixed figure in a file moves no other draw
+	return s[0].D() + time.Duration(u*float64(s[1]-s[0]))
+}
+
+func drawRange(rng *rand.Rand, r scenario.Range) float64 {
+	return r[0] + rng.Float64()*(r[1]-r[0])
+}
+
+// At names a place.
+func (n *Net) At(r Role, zone int) Place { return Place(int(r)*n.zones + zone) }
+
+func (n *Net) path(a, b Place) int { return int(a)*int(roles)*n.zones + int(b) }
+
+// Cut says whether nothing passes from a to b.
+func (n *Net) Cut(a, b Place) bool { return n.cuts[n.path(a, b)] > 0 }
+
+// delay draws the time of a message.
+func (n *Net) delay(a, b Place) time.Duration {
+	p := n.path(a, b)
+	d := float64(n.base[p]) * (1 + n.jitter*(2*n.rng.Float64()-1))
+	return time.Duration(d) + n.extra[p]
+}
+
+// each calls fn for the paths between two sides; a side is a zone's name, a role's, or empty for all.
+func (n *Net) each(from, to string, zones []string, fn func(path int)) {
+	size := int(roles) * n.zones
+	for a := range size {
+		for b := range size {
+			if n.stands(Place(a), from, zones) && n.stands(Place(b), to, zones) {
+				fn(a*size + b)
+			}
+		}
+	}
+}
+
+func (n *Net) stands(p Place, side string, zones []string) bool {
+	switch side {
+	case "":
+		return true
+	case "balancers":
+		return Role(int(p)/n.zones) == Balancers
+	case "nodes":
+		return Role(int(p)/n.zones) == AppNodes
+	case "clients":
+		return Role(int(p)/n.zones) == ClientSide
+	case "discovery":
+		return Role(int(p)/n.zones) == DiscoverySide
+	}
+	// A zone is its machines; clients stand outside and reach it over a path of their own.
+	return zones[int(p)%n.zones] == side && Role(int(p)/n.zones) != ClientSide
+}
+
+// cut begins or ends a cut of one path. What waited goes out in its order after the cut.
+func (n *Net) cut(path int, on bool, lasted time.Duration) {
+	if on {
+		n.cuts[path]++
+		return
+	}
+	n.cuts[path]--
+	if n.cuts[path] > 0 {
+		return
+	}
+	held := n.held[path]
+	n.held[path] = nil
+	for _, p := range held {
+		n.ship(p, n.base[path]+time.Duration(resend*float64(lasted)*n.rng.Float64()))
+	}
+}
+
+// ---- connections to app nodes ----
+
+// Peer is a balancer's end of its connections to app nodes.
+type Peer interface {
+	LinkUp(l *Link)
+	LinkRefused(l *Link)
+	// LinkFlows: the answer is larger than what is held, and so much of it is there.
+	LinkFlows(l *Link, a *Answer)
+	// LinkAnswered: the last byte is there.
+	LinkAnswered(l *Link, a *Answer)
+	// LinkEnded: the app node, or what is left of it, has ended the connection.
+	LinkEnded(l *Link)
+}
+
+// Answer is what an app node says to a request.
+type Answer struct {
+	Op     *Op
+	Ask    uint64 // the id of the request that it answers
+	End    JobEnd
+	Node   *Node
+	Bytes  float64
+	Report Report
+	Loaded bool // a report is there
+}
+
+// Link is a connection from a balancer to an app node. Each end closes its own half of the story.
+type Link struct {
+	ID       uint64
+	Balancer int
+	Node     *Node
+	Data     any // the balancer's own
+	Busy     bool
+	net      *Net
+	world    *World
+	peer     Peer
+	at, to   Place
+	here     bool // the balancer has it open
+	there    bool // the app node has
+	began    bool // the handshake is done
+	epoch    int
+	place    int // among the node's links
+	job      Job
+	parked   bool // a request waits for the handshake
+	answer   Answer
+	ask      uint64
+	used     time.Duration
+	idle     timeline.Timer
+	lastOut  time.Duration // arrival of the latest message, either way: the order of a connection
+	lastIn   time.Duration
+	body     timeline.Timer // the rest of an answer that flows
+}
+
+type parcelKind uint8
+
+const (
+	pDial parcelKind = iota
+	pUp
+	pRefused
+	pRequest
+	pFlow
+	pAnswer
+	pHang // the balancer has closed
+	pReset
+	pRested // a handshake's round trips are over
+)
+
+// parcel is a message under way.
+type parcel struct {
+	link *Link
+	kind parcelKind
+	out  bool // towards the app node
+}
+
+func (p *parcel) Run() {
+	l, k := p.link, p.kind
+	n := l.net
+	p.link = nil
+	n.free = append(n.free, p)
+	l.deliver(k)
+}
+
+func (l *Link) post(kind parcelKind, out bool, more time.Duration) {
+	n := l.net
+	var p *parcel
+	if k := len(n.free); k > 0 {
+		p, n.free = n.free[k-1], n.free[:k-1]
+	} else {
+		p = new(parcel)
+	}
+	*p = parcel{l, kind, out}
+	a, b := l.at, l.to
+	if !out {
+		a, b = b, a
+	}
+	path := n.path(a, b)
+	if n.cuts[path] > 0 {
+		n.held[path] = append(n.held[path], p)
+		return
+	}
+	n.ship(p, n.delay(a, b)+more)
+}
+
+func (n *Net) ship(p *parcel, d time.Duration) {
+	l := p.link
+	last := &l.lastIn
+	if p.out {
+		last = &l.lastOut
+	}
+	at := max(n.clock.Now()+d, *last+1)
+	*last = at
+	n.clock.After(at-n.clock.Now(), p)
+}
+
+// Dial opens a connection to an address; the peer hears of it, or of nothing where the machine is silent.
+func (w *World) Dial(balancer int, address int, peer Peer) *Link {
+	node := w.at(address)
+	l := &Link{ID: w.lastLink + 1, Balancer: balancer, Node: node, net: w.Net, world: w, peer: peer, here: true,
+		at: w.Net.At(Balancers, w.BalancerZone(balancer)), to: w.Net.At(AppNodes, node.Zone)}
+	w.lastLink++
+	w.Net.links++
+	w.Journal.Note(w.Clock.Now(), Dialed, uint64(balancer), uint64(node.Index), l.ID)
+	l.post(pDial, true, 0)
+	return l
+}
+
+// Send writes a request; the answer comes to the peer. wait is how long the balancer will, as it tells the app node.
+func (l *Link) Send(op *Op, ask uint64, wait time.Duration) {
+	w := l.world
+	now := w.Clock.Now()
+	l.Busy, l.ask = true, ask
+	l.job = Job{Class: op.Class, Op: op, To: l, Expires: now + wait}
+	w.Journal.Note(now, Wrote, uint64(l.Balancer), uint64(l.Node.Index), ask)
+	w.Seen.Wrote(l.Balancer, l.Node, op)
+	l.post(pRequest, true, 0)
+}
+
+// Quiet says whether nothing has come since the last answer, as a look at the socket would.
+func (l *Link) Quiet() bool { return l.here }
+
+// Close ends the balancer's side, whatever is under way.
+func (l *Link) Close() {
+	if !l.here {
+		return
+	}
+	l.here = false
+	l.world.Journal.Note(l.world.Clock.Now(), LinkEnded, uint64(l.Balancer), uint64(l.Node.Index), l.ID)
+	l.post(pHang, true, 0)
+	l.gone()
+}
+
+// gone counts a link out once neither end has it.
+func (l *Link) gone() {
+	if !l.here && !l.there {
+		l.net.links--
+	}
+}
+
+// alive: the process that took the connection still runs.
+func (l *Link) alive() bool { return l.there && l.Node.Up && l.Node.Epoch == l.epoch }
+
+func (l *Link) deliver(kind parcelKind) {
+	n := l.Node
+	w := l.world
+	if n.Dark && (kind == pRequest || kind == pHang || kind == pRested) {
+		return // to a machine that is not there
+	}
+	switch kind {
+	case pDial:
+		l.Node = w.Addresses[n.Address] // whoever is there by now
+		n = l.Node
+		switch {
+		case n.Dark:
+		case !n.Up:
+			l.post(pRefused, false, 0)
+		case !n.Accept():
+			l.post(pReset, false, 0)
+		default:
+			l.there, l.epoch = true, n.Epoch
+			l.place = len(n.links)
+			n.links = append(n.links, l)
+			l.used = w.Clock.Now()
+			l.armIdle()
+			l.post(pUp, false, 0)
+			n.Shake(l)
+		}
+	case pRequest:
+		if !l.alive() {
+			l.post(pReset, false, 0)
+			return
+		}
+		l.used = w.Clock.Now()
+		if !l.began {
+			l.parked = true
+			return
+		}
+		l.take()
+	case pRested:
+		if l.alive() {
+			l.began = true
+			if l.parked {
+				l.parked = false
+				l.take()
+			}
+		}
+	case pHang:
+		if l.alive() {
+			l.leave()
+		}
+	case pUp:
+		if l.here {
+			l.peer.LinkUp(l)
+		}
+	case pRefused:
+		if l.here {
+			l.here = false
+			l.gone()
+			l.peer.LinkRefused(l)
+		}
+	case pFlow:
+		if l.here {
+			l.peer.LinkFlows(l, &l.answer)
+		}
+	case pAnswer:
+		if l.here {
+			l.Busy = false
+			l.peer.LinkAnswered(l, &l.answer)
+		}
+	case pReset:
+		if l.here {
+			l.here = false
+			l.gone()
+			w.Journal.Note(w.Clock.Now(), LinkEnded, uint64(l.Balancer), uint64(n.Index), l.ID)
+			l.peer.LinkEnded(l)
+		}
+	}
+}
+
+// take hands the request to the machine.
+func (l *Link) take() {
+	l.job.Work = l.world.attemptWork(l.job.Op, l.Node)
+	l.Node.Take(&l.job)
+}
+
+// leave ends the app node's side.
+func (l *Link) leave() {
+	l.parked = false
+	l.there = false
+	l.idle.Stop()
+	l.body.Stop()
+	n := l.Node
+	end := len(n.links) - 1
+	n.links[l.place] = n.links[end]
+	n.links[l.place].place = l.place
+	n.links[end] = nil
+	n.links = n.links[:end]
+	n.Release()
+	if l.job.To != nil {
+		n.Drop(&l.job)
+	}
+	l.gone()
+}
+
+// JobDone: the machine is done with the handshake (nil) or with the request.
+func (l *Link) JobDone(j *Job, end JobEnd) {
+	w := l.world
+	if j == nil {
+		if l.alive() {
+			trips := time.Duration(max(0, l.Node.Trips-1) * 2 * float64(l.net.base[l.net.path(l.at, l.to)]))
+			w.Clock.After(trips, rested{l})
+		}
+		return
+	}
+	w.Journal.Note(w.Clock.Now(), WorkEnded, uint64(l.Node.Index), l.ask, uint64(end))
+	if !l.there { // work that went on after its connection had ended
+		return
+	}
+	j.To = nil
+	l.used = w.Clock.Now()
+	a := &l.answer
+	*a = Answer{Op: j.Op, Ask: l.ask, End: end, Node: l.Node, Bytes: 200}
+	a.Report, a.Loaded = l.Node.Load()
+	if end == Finished {
+		a.Bytes = w.answerBytes(j.Op)
+	}
+	if a.Bytes <= firstFlow {
+		l.post(pAnswer, false, time.Duration(a.Bytes/l.net.rate))
+		return
+	}
+	l.post(pFlow, false, time.Duration(firstFlow/l.net.rate))
+	// The rest comes as the line gives; it ends where the process or the connection does.
+	l.body = w.Clock.After(time.Duration((a.Bytes-firstFlow)/l.net.rate), timeline.Func(func() {
+		l.used = w.Clock.Now()
+		l.post(pAnswer, false, time.Duration(firstFlow/l.net.rate))
+	}))
+}
+
+type rested struct{ l *Link }
+
+func (r rested) Run() { r.l.deliver(pRested) }
+
+// armIdle has the app node close a connection without use.
+func (l *Link) armIdle() {
+	limit := l.Node.IdleClose
+	if limit <= 0 {
+		return
+	}
+	l.idle = l.world.Clock.After(max(0, limit-(l.world.Clock.Now()-l.used)), idleCheck{l})
+}
+
+type idleCheck struct{ l *Link }
+
+func (c idleCheck) Run() {
+	l := c.l
+	if !l.alive() {
+		return
+	}
+	if l.job.To != nil || l.parked || l.world.Clock.Now()-l.used < l.Node.IdleClose {
+		l.used = max(l.used, l.world.Clock.Now()-l.Node.IdleClose+time.Second)
+		l.armIdle()
+		return
+	}
+	l.leave()
+	l.post(pReset, false, 0)
+}
+
+// resetLinks ends all connections of a process that has died. silent: the machine is gone, so nobody hears of it
+// until it is back.
+func (w *World) resetLinks(n *Node, silent bool) {
+	for _, l := range n.links {
+		if silent && l.here {
+			n.ghosts = append(n.ghosts, l)
+		}
+		l.there, l.parked = false, false
+		l.idle.Stop()
+		l.body.Stop()
+		if !silent {
+			l.post(pReset, false, 0)
+		}
+		l.gone()
+	}
+	clear(n.links)
+	n.links = n.links[:0]
+}
+
+// raise has a machine that is back answer what was sent to its former self again and again.
+func (w *World) raise(n *Node) {
+	for _, l := range n.ghosts {
+		if l.here && l.Busy {
+			l.post(pReset, false, time.Duration(l.net.rng.Float64()*float64(time.Second)))
+		}
+	}
+	n.ghosts = nil
+}
+
+// resetPath resets all connections that are open between two sides.
+func (w *World) resetPath(from, to string) {
+	for _, n := range w.Nodes {
+		for i := len(n.links) - 1; i >= 0; i-- {
+			l := n.links[i]
+			if w.Net.stands(l.at, from, w.Sc.Zones) && w.Net.stands(l.to, to, w.Sc.Zones) ||
+				w.Net.stands(l.at, to, w.Sc.Zones) && w.Net.stands(l.to, from, w.Sc.Zones) {
+				l.leave()
+				l.post(pReset, false, 0)
+			}
+		}
+	}
+}
+
+// Links is the number of connections to app nodes that either end has open.
+func (n *Net) Links() int { return n.links }
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -94,8 +94,10 @@
 // cores evenly, so with as many slots as cores it serves first come first served, and with more it shares.
 type Node struct {
 	NodeSpec
-	Address int // by which it is reached; a replacement takes it over
-	Index   int // among all nodes that there ever were
+	Address int  // by which it is reached; a replacement takes it over
+	Index   int  // among all nodes that there ever were
+	Group   int  // of the scenario
+	Doomed  bool // leaves, or has left, for good
 
 	clock timeline.Clock
 	rng   *rand.Rand
@@ -107,6 +109,8 @@
 	Started  time.Duration // of the process; 0: long ago
 	Epoch    int           // counts starts: connections to an earlier process are no good
 	conns    int
+	links    []*Link // open here
+	ghosts   []*Link // of a former self, open at the other end alone
 
 	slow    float64   // times slower
 	stolen  float64   // share of the machine that another program takes
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -3,3 +3,317 @@
 // world stands around simulated balancers in virtual time and, node by node, around real ones on sockets. It must
 // never open a socket, read another clock, or know what a balancer believes.
 package world
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"pewterrudder/internal/lab/chance"
+	"pewterrudder/internal/lab/scenario"
+	"pewterrudder/internal/lab/timeline"
+)
+
+// Lead is the time from the start of the balancers to the first request: the front admits them meanwhile.
+const Lead = 3 * time.Second
+
+// Balancer is one balancer as the world sees it; the mode that drives real or simulated ones implements it.
+type Balancer interface {
+	// Ask: a request has arrived whole. False: the connection is closed, and the request was not read.
+	Ask(a *Ask) bool
+	// Leave: the client has closed the connection of a request that is not answered.
+	Leave(a *Ask)
+	// Start starts the process with the list that it is given.
+	Start(known List)
+	// Kill ends it without a word, Term with notice: World.Exited follows.
+	Kill()
+	Term()
+	// Reload has it read its configuration again, which names another address of discovery.
+	Reload()
+}
+
+// Watcher sees all that happens in the world that a verdict or a result may rest on.
+type Watcher interface {
+	NodeWatcher
+	// Wished: a client's wish comes up.
+	Wished(op *Op)
+	// Taken: a balancer has read a request whole.
+	Taken(a *Ask)
+	// Answered: a balancer has begun to write its final answer; it is whole at the client at that moment.
+	Answered(a *Ask, o Outcome, at time.Duration)
+	// Over: a request that a balancer has taken is over without an answer. why: Left, Crashed or Lost.
+	Over(a *Ask, why Kind)
+	// Settled: the client has what it wanted, or has given up (not Served).
+	Settled(op *Op, how Kind, at time.Duration)
+	// Wrote: a balancer has written the first byte of an attempt.
+	Wrote(balancer int, n *Node, op *Op)
+	// Knew: discovery has learned of a state. Told: it has written it to a balancer.
+	Knew(n *Node, s State)
+	Told(balancer int, n *Node, s State)
+	// Reached says whether a balancer that runs can be told anything by discovery from now on.
+	Reached(balancer int, can bool)
+	// Broken: something happened that must never do.
+	Broken(text string)
+}
+
+// World is all of it. Its methods belong to the clock's goroutine.
+type World struct {
+	Sc        *scenario.Scenario
+	Clock     timeline.Clock
+	Chance    chance.Source
+	Journal   *Journal
+	Seen      Watcher
+	Net       *Net
+	Nodes     []*Node // all that there ever were
+	Addresses []*Node // who is, or was last, at each address
+	Discovery *Discovery
+	Clients   *Clients
+	Front     *Front
+	Balancers []*Seat
+	Episodes  []*Episode // faults, in the order of their beginnings
+	Classes   []Class
+	Capacity  float64 // cores of standard speed of all app nodes of the first day
+	End       time.Duration
+
+	zoneIndex map[string]int
+	byAddress map[string]int
+	lastLink  uint64
+	nodesMade int
+	nodeRng   *rand.Rand
+	workRng   *rand.Rand
+	sizeRng   *rand.Rand
+}
+
+// Class is a class of requests, drawn for the run.
+type Class struct {
+	*scenario.Class
+	Work chance.Dist
+}
+
+// Seat is the place of a balancer: its name and address stay, whatever process runs there.
+type Seat struct {
+	Index    int
+	Zone     int
+	B        Balancer
+	Up       bool
+	Term     bool // it was given notice
+	Life     int  // counts starts
+	Known    List // what it would be started with
+	asks     []*Ask
+	termAt   time.Duration
+	reached  bool
+	restarts timeline.Timer
+}
+
+// New makes a world from a scenario and a seed. Attach must follow, then Open.
+func New(sc *scenario.Scenario, clock timeline.Clock, src chance.Source, journal *Journal, seen Watcher) *World {
+	w := &World{Sc: sc, Clock: clock, Chance: src, Journal: journal, Seen: seen, zoneIndex: map[string]int{},
+		byAddress: map[string]int{}, End: Lead + sc.Length.D()}
+	for i, z := range sc.Zones {
+		w.zoneIndex[z] = i
+	}
+	w.Net = newNet(clock, sc, src.Stream("network"))
+	w.nodeRng, w.workRng, w.sizeRng = src.Stream("nodes"), src.Stream("work"), src.Stream("sizes")
+	draws := src.Stream("classes")
+	for i := range sc.Classes {
+		c := &sc.Classes[i]
+		w.Classes = append(w.Classes, Class{c, distOf(&c.Work, drawRange(draws, c.Work.Mean))})
+	}
+	w.Discovery = newDiscovery(w)
+	inZone := 0
+	for g := range sc.Nodes {
+		for range sc.Nodes[g].Count {
+			zone := inZone % len(sc.Zones)
+			if z := sc.Nodes[g].Zone; z != "" {
+				zone = w.zoneIndex[z]
+			} else {
+				inZone++
+			}
+			n := w.addNode(g, zone, -1)
+			w.Capacity += float64(n.Cores) * n.Speed
+			w.Discovery.state(n, Ready)
+		}
+	}
+	w.Discovery.restart()
+	for i := range sc.Balancers.Count {
+		w.Balancers = append(w.Balancers, &Seat{Index: i, Zone: i % len(sc.Zones)})
+	}
+	w.Front = newFront(w)
+	w.Clients = newClients(w)
+	return w
+}
+
+func distOf(k *scenario.Work, mean float64) chance.Dist {
+	switch k.Dist {
+	case "constant":
+		return chance.Constant(mean)
+	case "lognormal":
+		return chance.NewLognormal(mean, k.CV)
+	case "hyperexponential":
+		return chance.NewHyperexponential(mean, k.CV)
+	case "trace":
+		return chance.Trace(k.Trace)
+	}
+	return chance.Exponential(mean)
+}
+
+// addNode makes an app node of a group, at an address of its own or at one that it takes over.
+func (w *World) addNode(group, zone, address int) *Node {
+	g, rng := &w.Sc.Nodes[group], w.nodeRng
+	index := len(w.Nodes)
+	spec := NodeSpec{ID: fmt.Sprintf("s-%08x", uint32(w.Chance.Number("nodes/"+strconv.Itoa(index)))), Kind: g.Kind,
+		Zone: zone, Cell: index/g.CellSize*len(w.Sc.Zones) + zone, Size: g.Size, Cores: g.Cores, Slots: g.Slots, Queue: g.Queue,
+		Speed: drawRange(rng, g.Speed), CrowdFrom: g.CrowdFrom, CrowdLoss: g.CrowdLoss,
+		ColdFrom: drawRange(rng, g.ColdFrom), ColdFor: draw(rng, g.ColdFor), Handshake: g.Handshake, Trips: g.Trips,
+		MaxConns: g.MaxConns, ConnTax: g.ConnTax, IdleClose: w.Sc.Limits.IdleClose.D(),
+		ReportEvery: draw(rng, w.Sc.Reports.Every), ReportDelay: draw(rng, w.Sc.Reports.Delay),
+		ReportNoise: drawRange(rng, w.Sc.Reports.Noise), Errors: drawRange(rng, g.Errors), Cancels: g.Cancels,
+		Expires: g.Expires, HangEvery: draw(rng, g.HangEvery), HangFor: draw(rng, g.HangFor)}
+	n := NewNode(w.Clock, spec, w.Chance.Stream("nodes/"+strconv.Itoa(index)), len(w.Classes), w)
+	n.Index, n.Group = index, group
+	if address < 0 {
+		address = len(w.Addresses)
+		w.Addresses = append(w.Addresses, n)
+		w.byAddress[AddressName(address)] = address
+	} else {
+		w.Addresses[address] = n
+	}
+	n.Address = address
+	w.Nodes = append(w.Nodes, n)
+	return n
+}
+
+// AddressName is an address as discovery writes it.
+func AddressName(address int) string { return "node-" + strconv.Itoa(address) + ":80" }
+
+// AddressOf is the reverse; false where no such machine ever was.
+func (w *World) AddressOf(name string) (int, bool) {
+	a, ok := w.byAddress[name]
+	return a, ok
+}
+
+func (w *World) at(address int) *Node { return w.Addresses[address] }
+
+// BalancerZone is the zone of a balancer's machine.
+func (w *World) BalancerZone(i int) int { return w.Balancers[i].Zone }
+
+// JobCame and JobBegan pass on what nodes see.
+func (w *World) JobCame(n *Node, j *Job) {
+	ask := uint64(0)
+	if l, ok := j.To.(*Link); ok {
+		ask = l.ask
+	}
+	w.Journal.Note(w.Clock.Now(), CameToNode, uint64(n.Index), ask, uint64(j.Work*1e3))
+	w.Seen.JobCame(n, j)
+}
+
+func (w *World) JobBegan(n *Node, j *Job) {
+	w.Journal.Note(w.Clock.Now(), WorkBegan, uint64(n.Index), j.Op.Serial, 0)
+	w.Seen.JobBegan(n, j)
+}
+
+// attemptWork is what a request costs at one app node: each attempt differs a little.
+func (w *World) attemptWork(op *Op, n *Node) float64 {
+	if cv := w.Classes[op.Class].Class.Work.Noise; cv > 0 {
+		s2 := math.Log(1 + cv*cv)
+		return op.Work * math.Exp(math.Sqrt(s2)*n.rng.NormFloat64()-s2/2)
+	}
+	return op.Work
+}
+
+// answerBytes draws the size of an answer, evenly over the powers between the bounds.
+func (w *World) answerBytes(op *Op) float64 {
+	b := w.Classes[op.Class].Bytes
+	if b[0] == b[1] {
+		return b[0]
+	}
+	return b[0] * math.Pow(b[1]/b[0], w.sizeRng.Float64())
+}
+
+// ---- balancers' lives ----
+
+// Open starts the balancers, the clients and the faults.
+func (w *World) Open(balancers []Balancer) {
+	for i, b := range balancers {
+		s := w.Balancers[i]
+		s.B = b
+		if w.Sc.Balancers.Known == "last" {
+			s.Known = w.Discovery.List()
+		}
+		w.startBalancer(s)
+	}
+	w.Clients.open()
+	w.armFaults()
+}
+
+func (w *World) startBalancer(s *Seat) {
+	if s.Up {
+		return
+	}
+	s.Up, s.Term = true, false
+	s.Life++
+	w.Journal.Note(w.Clock.Now(), BalancerStarted, uint64(s.Index), uint64(s.Life), 0)
+	w.reach(s)
+	s.B.Start(s.Known)
+}
+
+// reach tells whether discovery can tell a balancer anything.
+func (w *World) reach(s *Seat) {
+	a, b := w.Net.At(Balancers, s.Zone), w.Net.At(DiscoverySide, 0)
+	can := s.Up && !w.Discovery.Down && !w.Discovery.Silent && !w.Net.Cut(a, b) && !w.Net.Cut(b, a)
+	if can != s.reached {
+		s.reached = can
+		w.Seen.Reached(s.Index, can)
+	}
+}
+
+func (w *World) reachAll() {
+	for _, s := range w.Balancers {
+		w.reach(s)
+	}
+}
+
+// Ready: a balancer answers its health check.
+func (w *World) Ready(balancer int) {
+	w.Journal.Note(w.Clock.Now(), BalancerReady, uint64(balancer), 0, 0)
+	w.Front.ready(w.Balancers[balancer])
+}
+
+// Exited: a balancer that was given notice has ended.
+func (w *World) Exited(balancer int) {
+	s := w.Balancers[balancer]
+	w.Journal.Note(w.Clock.Now(), BalancerEnded, uint64(balancer), uint64(s.Life), 1)
+	w.endBalancer(s)
+}
+
+// kill ends a balancer's process at once.
+func (w *World) kill(s *Seat) {
+	if !s.Up {
+		return
+	}
+	w.Journal.Note(w.Clock.Now(), BalancerEnded, uint64(s.Index), uint64(s.Life), 0)
+	s.B.Kill()
+	w.endBalancer(s)
+}
+
+// endBalancer resets the connections of clients: what it had taken is over.
+func (w *World) endBalancer(s *Seat) {
+	s.Up = false
+	w.reach(s)
+	w.Front.gone(s)
+	asks := s.asks
+	s.asks = nil
+	for _, a := range asks {
+		a.place = -1
+		w.Clients.crashed(a, s.Term)
+	}
+}
+
+// Knows is what a balancer would be started with: the list as it had it last.
+func (w *World) Knows(balancer int, l List) {
+	if w.Sc.Balancers.Known == "last" {
+		w.Balancers[balancer].Known = l
+	}
+}
