--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -131,6 +131,8 @@
 			return bad(key("late"), c.Late)
 		case c.Bytes[0] < 1:
 			return bad(key("bytes"), c.Bytes[0])
+		case c.Upload[0] < 0:
+			return bad(key("upload"), c.Upload[0])
 		}
 	}
 	for i := range s.Tenants {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -172,9 +172,10 @@
 	Aim      Duration `json:"aim"`
 	Deadline Duration `json:"deadline"`
 	Worth    float64  `json:"worth"`
-	Late     float64  `json:"late"`  // share of the worth after the aim
-	Bytes    Range    `json:"bytes"` // of an answer, drawn on a scale of powers; over 64 KiB it flows
-	Hint     bool     `json:"hint"`  // requests tell their work, roughly
+	Late     float64  `json:"late"`   // share of the worth after the aim
+	Bytes    Range    `json:"bytes"`  // of an answer, drawn on a scale of powers; over 64 KiB it flows
+	Upload   Range    `json:"upload"` // bytes of a request's body, likewise
+	Hint     bool     `json:"hint"`   // requests tell their work, roughly
 }
 
 // Tenant is one of those who share the service.
@@ -316,6 +317,7 @@
 	{"slow", "machines are slower", "times slower", 1, 1e6, "nodes", true, false},
 	{"errors", "requests fail at once, those of one class or all", "share", 0, 1, "nodes", true, false},
 	{"lose", "requests are taken and never answered, those of one class or all", "share", 0, 1, "nodes", true, false},
+	{"halt", "answers stop in their middle", "share", 0, 1, "nodes", true, false},
 	{"pauses", "machines stand still again and again", "pause in ms", 0, 1e6, "nodes", true, true},
 	{"neighbour", "another program takes a share of the machine, on and off", "share", 0, 1, "nodes", true, true},
 	{"stall", "processes take requests and say nothing", "", 0, 0, "nodes", true, false},
--- /dev/null
+++ b/internal/lab/virtual/balancer.go
@@ -0,0 +1,567 @@
+package virtual
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"pewterrudder/brain"
+	"pewterrudder/internal/config"
+	"pewterrudder/internal/lab/timeline"
+	"pewterrudder/internal/lab/world"
+	"pewterrudder/internal/reducer"
+)
+
+// Figures of the shells, which the model takes over; the constants there say why.
+const (
+	clockStart    = 24 * time.Hour         // cmd/pewterrudder: the zero of the clock means "long ago" in lists
+	watchPatience = 4 * time.Second        // internal/registry: for the head of a watch
+	watchSilence  = 4 * time.Second        // internal/registry: without a line
+	acceptFor     = 720 * time.Millisecond // internal/acceptor: after the notice to end
+	// readerWakes is from the end of a connection to the reducer's hearing of it: what is picked meanwhile is not
+	// written. A goroutine's wake-up and its turn in the queue of events.
+	readerWakes = 50 * time.Microsecond
+)
+
+var (
+	errRefused  = errors.New("connection refused")
+	errTimeout  = errors.New("i/o timeout")
+	errReset    = errors.New("connection reset by peer")
+	errSilent   = errors.New("no line for too long")
+	errEnded    = errors.New("discovery ended it")
+	errHead     = errors.New("timeout awaiting response headers")
+	errStalled  = errors.New("the answer stopped in its middle")
+	errNoSuchIP = errors.New("no route to host")
+)
+
+// balancer is one seat's process: a real reducer, and its shells as events and effects.
+type balancer struct {
+	run   *run
+	index int
+
+	red      *reducer.Reducer
+	decider  brain.Decider
+	life     int // counts processes; what an earlier one had set off means nothing to the next
+	up       bool
+	serving  bool // it has had its first event
+	draining bool
+	closed   bool // connections of clients without a call have been ended
+	exiting  bool
+
+	effects []reducer.Effect
+	calls   map[uint64]*world.Ask
+	conns   map[uint64]*conn
+	watch   *watch
+	timers  int // armed and not due
+	moved   int // of discovery's address
+	report  []float64
+	members int // of the latest list
+}
+
+// conn is a connection to an app node as the delegation has it.
+type conn struct {
+	b     *balancer
+	life  int
+	id    uint64
+	link  *world.Link
+	up    bool
+	busy  bool
+	flows bool
+	ended bool // the app node's side is over, of which the reducer is yet to hear
+	ask   *world.Ask
+	shot  bool
+	stall time.Duration
+	flow  time.Duration
+	timer timeline.Timer // of the dial, or of a stop in an answer
+}
+
+func newBalancer(run *run, index int) *balancer { return &balancer{run: run, index: index} }
+
+// ---- the process ----
+
+func (b *balancer) Start(known world.List) {
+	r := b.run
+	b.life++
+	b.up, b.serving, b.draining, b.closed, b.exiting = true, false, false, false, false
+	b.calls, b.conns, b.watch, b.timers, b.moved = map[uint64]*world.Ask{}, map[uint64]*conn{}, nil, 0, 0
+	life := b.life
+	r.clock.After(r.sc.Balancers.ReadyIn.D(), timeline.Func(func() {
+		if b.life != life || !b.up {
+			return
+		}
+		b.serving = true
+		cfg := r.settings(b.index)
+		seed := r.src.Number("balancers/" + strconv.Itoa(b.index) + "/" + strconv.Itoa(life))
+		decider, err := r.opt.Policy(cfg, seed)
+		if err != nil { // the settings come from a checked scenario, so this is the lab's own fault
+			panic("virtual: " + err.Error())
+		}
+		_, _, budget := config.Limits{MemoryMB: 192, Sockets: r.sc.Balancers.Sockets}.Budget()
+		b.decider, b.red = decider, reducer.NewWith(cfg, decider, budget)
+		list := b.list(&known)
+		b.handle(reducer.Started{Known: list, Discovery: "discovery:0"})
+	}))
+}
+
+func (b *balancer) Kill() { b.stop() }
+
+// stop ends the process: its sockets close with it.
+func (b *balancer) stop() {
+	ids := make([]uint64, 0, len(b.conns))
+	for id := range b.conns {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids) // a map's order must not show in the log
+	b.up, b.serving = false, false
+	b.life++
+	for _, id := range ids {
+		k := b.conns[id]
+		k.timer.Stop()
+		k.link.Close()
+	}
+	if b.watch != nil {
+		b.watch.close()
+	}
+	b.run.retired(b)
+	b.red, b.decider, b.calls, b.conns, b.watch = nil, nil, nil, nil, nil
+}
+
+// Term is the notice to end: answers end their connections from now on, new ones are taken for a while, and the
+// process ends once all that it took is answered.
+func (b *balancer) Term() {
+	life := b.life
+	b.draining = true
+	b.run.clock.After(acceptFor, timeline.Func(func() {
+		if b.life == life && b.up {
+			b.closed = true
+			b.mayExit()
+		}
+	}))
+}
+
+func (b *balancer) mayExit() {
+	if !b.closed || b.exiting || len(b.calls) > 0 {
+		return
+	}
+	b.exiting = true
+	life := b.life
+	b.run.clock.After(0, timeline.Func(func() {
+		if b.life == life && b.up {
+			b.stop()
+			b.run.world.Exited(b.index)
+		}
+	}))
+}
+
+func (b *balancer) Reload() {
+	if b.serving {
+		b.moved++
+		b.handle(reducer.Reloaded{Discovery: "discovery:" + strconv.Itoa(b.moved)})
+	}
+}
+
+// ---- the acceptor ----
+
+func (b *balancer) Ask(a *world.Ask) bool {
+	if !b.serving || b.closed {
+		return false
+	}
+	now := b.now()
+	c := &reducer.Call{ID: a.ID, ClientID: strconv.FormatUint(a.ID, 16), Class: a.Op.Class, Tenant: a.Op.Tenant, Retry: a.Retry,
+		Work: a.Op.Hint, Deadline: now + a.Deadline - a.Sent, OneShot: a.Op.Upload > held, Message: a}
+	b.calls[a.ID] = a
+	b.handle(reducer.Arrived{Call: c})
+	return true
+}
+
+// held is the size up to which bodies are kept whole, either way.
+const held = 64 << 10
+
+func (b *balancer) Leave(a *world.Ask) {
+	if !b.serving || b.calls[a.ID] != a {
+		return
+	}
+	delete(b.calls, a.ID)
+	b.handle(reducer.ClientGone{Call: a.ID})
+	b.mayExit()
+}
+
+func (b *balancer) answer(e reducer.Answer) {
+	a := b.calls[e.Call]
+	if a == nil { // its client has left
+		b.run.strays++
+		return
+	}
+	o := world.Outcome{After: e.Reply.After, Closes: b.draining}
+	switch e.Reply.Kind {
+	case reducer.Served:
+		o.Kind = world.Served
+	case reducer.Refused:
+		o.Kind = world.Refused
+	default:
+		o.Kind = world.Failed
+	}
+	if m, ok := e.Reply.Message.(*flowing); ok {
+		o.Answer, o.Flows = m.answer, true
+		m.k.flows, m.k.ask = true, a
+		b.run.world.Answer(a, o)
+		return // the call is the acceptor's until its last byte
+	}
+	o.Answer, _ = e.Reply.Message.(*world.Answer)
+	delete(b.calls, e.Call)
+	b.run.world.Answer(a, o)
+	b.mayExit()
+}
+
+// ---- the reducer ----
+
+func (b *balancer) now() time.Duration { return clockStart + b.run.clock.Now() }
+
+// handle drives the reducer with one event and carries out what follows. What that sets off comes back later, as
+// events of their own, just as it does through the real one's queue.
+func (b *balancer) handle(ev reducer.Event) {
+	r := b.run
+	r.handled++
+	effects := b.red.Handle(b.now(), ev, b.effects[:0])
+	b.effects = effects
+	for _, e := range effects {
+		switch e := e.(type) {
+		case reducer.Answer:
+			b.answer(e)
+		case reducer.Exchange:
+			b.exchange(e)
+		case reducer.Dial:
+			b.dial(e)
+		case reducer.Close:
+			b.close(e)
+		case reducer.Watch:
+			b.openWatch(e)
+		case reducer.Arm:
+			b.timers++
+			r.arm(b, e.After, e.Event)
+		case reducer.Ready:
+			r.world.Ready(b.index)
+		case reducer.Log:
+			r.logged++
+			if r.opt.Log != nil {
+				r.say(b.index, e.Text)
+			}
+		}
+	}
+	clear(effects)
+}
+
+// armed is a timer of a reducer's; they are used again.
+type armed struct {
+	b    *balancer
+	life int
+	ev   reducer.Event
+}
+
+func (t *armed) Run() {
+	b, life, ev := t.b, t.life, t.ev
+	*t = armed{}
+	b.run.freeArmed = append(b.run.freeArmed, t)
+	if b.life == life && b.serving {
+		b.timers--
+		b.handle(ev)
+	}
+}
+
+func (r *run) arm(b *balancer, after time.Duration, ev reducer.Event) {
+	var t *armed
+	if n := len(r.freeArmed); n > 0 {
+		t, r.freeArmed = r.freeArmed[n-1], r.freeArmed[:n-1]
+	} else {
+		t = new(armed)
+	}
+	*t = armed{b, b.life, ev}
+	r.clock.After(after, t)
+}
+
+// later hands an event to the reducer after a moment, as one that comes from another goroutine.
+func (b *balancer) later(after time.Duration, ev reducer.Event) {
+	life := b.life
+	b.run.clock.After(after, timeline.Func(func() {
+		if b.life == life && b.serving {
+			b.handle(ev)
+		}
+	}))
+}
+
+// ---- the delegation ----
+
+func (b *balancer) dial(e reducer.Dial) {
+	k := &conn{b: b, life: b.life, id: e.Conn}
+	address, ok := b.run.world.AddressOf(e.Address)
+	if !ok {
+		b.later(readerWakes, reducer.Dialed{Conn: e.Conn, Err: errNoSuchIP})
+		return
+	}
+	b.conns[e.Conn] = k
+	k.link = b.run.world.Dial(b.index, address, (*peer)(b))
+	k.link.Data = k
+	k.timer = b.run.clock.After(e.Timeout, dialTimeout{k})
+}
+
+type dialTimeout struct{ k *conn }
+
+func (t dialTimeout) Run() {
+	k := t.k
+	if !k.live() || k.up {
+		return
+	}
+	k.link.Close()
+	k.b.handle(reducer.Dialed{Conn: k.id, Err: errTimeout})
+}
+
+// live: the process that opened it runs, and the reducer has not given it back.
+func (k *conn) live() bool { return k.life == k.b.life && k.b.serving && k.b.conns[k.id] == k }
+
+func (b *balancer) exchange(e reducer.Exchange) {
+	k := b.conns[e.Conn]
+	if k == nil {
+		return
+	}
+	a := e.Call.Message.(*world.Ask)
+	if k.ended || !k.link.Open() { // closed while the reducer picked it
+		b.later(readerWakes, reducer.Exchanged{Conn: e.Conn, Written: reducer.Nothing, Err: errReset})
+		return
+	}
+	k.busy, k.flows, k.ask, k.shot, k.stall, k.flow = true, false, nil, e.Call.OneShot, e.Stall, e.FlowStall
+	k.link.Send(a.Op, a.ID, e.Wait)
+}
+
+func (b *balancer) close(e reducer.Close) {
+	k := b.conns[e.Conn]
+	if k == nil {
+		return
+	}
+	delete(b.conns, e.Conn)
+	k.timer.Stop()
+	if k.link != nil {
+		k.link.Close()
+	}
+	k.flowEnded(false)
+}
+
+// flowEnded has the client's side see the end of an answer that flowed to it.
+func (k *conn) flowEnded(whole bool) {
+	if !k.flows || k.ask == nil {
+		return
+	}
+	a := k.ask
+	k.flows, k.ask = false, nil
+	if k.b.calls[a.ID] == a {
+		delete(k.b.calls, a.ID)
+	}
+	k.b.run.world.FlowEnded(a, whole)
+	k.b.mayExit()
+}
+
+// peer is a balancer as its connections to app nodes see it.
+type peer balancer
+
+// flowing stands for an answer that is to flow.
+type flowing struct {
+	k      *conn
+	answer *world.Answer
+}
+
+func connOf(l *world.Link) *conn {
+	if k := l.Data.(*conn); k.live() {
+		return k
+	}
+	return nil
+}
+
+func (p *peer) LinkUp(l *world.Link) {
+	if k := connOf(l); k != nil {
+		k.up = true
+		k.timer.Stop()
+		k.b.handle(reducer.Dialed{Conn: k.id})
+	}
+}
+
+func (p *peer) LinkRefused(l *world.Link) {
+	if k := connOf(l); k != nil {
+		k.timer.Stop()
+		k.b.handle(reducer.Dialed{Conn: k.id, Err: errRefused})
+	}
+}
+
+func (p *peer) LinkFlows(l *world.Link, a *world.Answer) {
+	k := connOf(l)
+	if k == nil || !k.busy {
+		return
+	}
+	k.timer.Stop()
+	k.timer = p.run.clock.After(l.Rest()+k.flow, stopped{k})
+	k.b.handle(reducer.Flowing{Conn: k.id, Result: reducer.Good, Message: &flowing{k, a}})
+}
+
+func (p *peer) LinkHalts(l *world.Link) {
+	if k := connOf(l); k != nil && k.busy {
+		k.timer.Stop()
+		k.timer = p.run.clock.After(k.stall, stopped{k})
+	}
+}
+
+// stopped: the next bytes of an answer have been waited for long enough.
+type stopped struct{ k *conn }
+
+func (t stopped) Run() {
+	k := t.k
+	if !k.live() || !k.busy {
+		return
+	}
+	k.busy = false
+	k.flowEnded(false)
+	k.b.handle(reducer.Exchanged{Conn: k.id, Written: reducer.Whole, Result: reducer.Stalled, Spent: k.shot, Err: errStalled})
+}
+
+func (p *peer) LinkAnswered(l *world.Link, a *world.Answer) {
+	k := connOf(l)
+	if k == nil || !k.busy {
+		return
+	}
+	k.busy = false
+	k.timer.Stop()
+	e := reducer.Exchanged{Conn: k.id, Written: reducer.Whole, Reuse: true, Spent: k.shot}
+	switch a.End {
+	case world.Finished:
+		e.Result = reducer.Good
+		if !k.flows {
+			e.Message = a
+		}
+	case world.Errored:
+		e.Result = reducer.Errored
+	default:
+		e.Result = reducer.Shed
+	}
+	if a.Loaded && len(p.run.columns) > 0 {
+		p.report = p.report[:0]
+		for _, column := range p.run.columns {
+			p.report = append(p.report, column(&a.Report))
+		}
+		e.Report = p.report
+	}
+	k.flowEnded(true)
+	k.b.handle(e)
+}
+
+func (p *peer) LinkEnded(l *world.Link) {
+	k := connOf(l)
+	switch {
+	case k == nil:
+	case !k.up:
+		k.timer.Stop()
+		k.b.handle(reducer.Dialed{Conn: k.id, Err: errReset})
+	case k.busy:
+		k.busy, k.ended = false, true
+		k.timer.Stop()
+		e := reducer.Exchanged{Conn: k.id, Written: reducer.Whole, Result: reducer.Broke, Spent: k.shot, Err: errReset}
+		if !l.Whole() {
+			e.Written = reducer.Partly
+		}
+		k.flowEnded(false)
+		k.b.handle(e)
+	default:
+		k.ended = true
+		k.b.later(readerWakes, reducer.Lost{Conn: k.id})
+	}
+}
+
+// ---- the registry ----
+
+// watch is the registry's one watch.
+type watch struct {
+	b      *balancer
+	life   int
+	id     uint64
+	stream *world.Stream
+	quiet  timeline.Timer
+	over   bool
+}
+
+func (b *balancer) openWatch(e reducer.Watch) {
+	if b.watch != nil {
+		b.watch.close()
+	}
+	w := &watch{b: b, life: b.life, id: e.ID}
+	b.watch = w
+	w.quiet = b.run.clock.After(watchPatience, watchEnd{w, errHead})
+	w.stream = b.run.world.Discovery.Watch(b.index, e.Since, w)
+}
+
+func (w *watch) close() {
+	w.over = true
+	w.quiet.Stop()
+	w.stream.Close()
+}
+
+type watchEnd struct {
+	w   *watch
+	err error
+}
+
+func (t watchEnd) Run() { t.w.end(t.err) }
+
+func (w *watch) end(err error) {
+	if w.over || w.life != w.b.life {
+		return
+	}
+	w.close()
+	w.b.handle(reducer.WatchEnded{Watch: w.id, Err: err})
+}
+
+func (w *watch) rest() {
+	w.quiet.Stop()
+	w.quiet = w.b.run.clock.After(watchSilence, watchEnd{w, errSilent})
+}
+
+func (w *watch) Opened() {
+	if !w.over {
+		w.rest()
+	}
+}
+
+func (w *watch) Line(l *world.List) {
+	if w.over || w.life != w.b.life {
+		return
+	}
+	w.rest()
+	if l == nil {
+		return
+	}
+	if l.Complete {
+		w.b.run.world.Knows(w.b.index, *l)
+	}
+	w.b.handle(reducer.Listed{Watch: w.id, List: w.b.list(l)})
+}
+
+func (w *watch) Closed() { w.end(errEnded) }
+
+// list puts a list in the node's terms.
+func (b *balancer) list(l *world.List) reducer.List {
+	zones := b.run.sc.Zones
+	out := reducer.List{Revision: l.Revision, Complete: l.Complete, Members: make([]brain.Member, 0, len(l.Entries)),
+		Addresses: make([]string, 0, len(l.Entries))}
+	for i := range l.Entries {
+		e := &l.Entries[i]
+		m := brain.Member{Server: e.Node.ID, Zone: zones[e.Node.Zone], Kind: e.Node.Kind, Cell: e.Node.Cell, Weight: e.Weight}
+		if e.Started != 0 {
+			m.Started = clockStart + e.Started
+		}
+		switch e.State {
+		case world.Draining:
+			m.State = brain.Draining
+		case world.Gone:
+			m.State = brain.Gone
+		}
+		out.Members = append(out.Members, m)
+		out.Addresses = append(out.Addresses, world.AddressName(e.Node.Address))
+	}
+	return out
+}
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -146,6 +146,8 @@
 		each(func(n *Node) { n.Fail(e.class, e.Size) }, func(n *Node) { n.Fail(e.class, 0) })
 	case "lose":
 		each(func(n *Node) { n.Lose(e.class, e.Size) }, func(n *Node) { n.Lose(e.class, 0) })
+	case "halt":
+		each(func(n *Node) { n.Halt = e.Size }, func(n *Node) { n.Halt = 0 })
 	case "pauses":
 		each(e.pauses, nil)
 		e.later(func() {})
@@ -457,5 +459,5 @@
 // Topple has a cold app node that was pushed over stay down.
 func (w *World) Topple(n *Node) {
 	n.Doomed = true
-	w.crash(n)
+	w.Clock.After(0, timeline.Func(func() { w.crash(n) })) // not inside what it is just doing
 }
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -146,6 +146,8 @@
 type Peer interface {
 	LinkUp(l *Link)
 	LinkRefused(l *Link)
+	// LinkHalts: an answer has begun, and stops in its middle.
+	LinkHalts(l *Link)
 	// LinkFlows: the answer is larger than what is held, and so much of it is there.
 	LinkFlows(l *Link, a *Answer)
 	// LinkAnswered: the last byte is there.
@@ -190,6 +192,8 @@
 	lastOut  time.Duration // arrival of the latest message, either way: the order of a connection
 	lastIn   time.Duration
 	body     timeline.Timer // the rest of an answer that flows
+	wholeAt  time.Duration  // when the last byte of the request has left
+	torn     bool           // the balancer closed before
 }
 
 type parcelKind uint8
@@ -200,6 +204,7 @@
 	pRefused
 	pRequest
 	pFlow
+	pHalt
 	pAnswer
 	pHang // the balancer has closed
 	pReset
@@ -270,14 +275,23 @@
 	w := l.world
 	now := w.Clock.Now()
 	l.Busy, l.ask = true, ask
+	l.torn, l.wholeAt = false, now+time.Duration(max(0, op.Upload-firstFlow)/l.net.rate)
 	l.job = Job{Class: op.Class, Op: op, To: l, Expires: now + wait}
 	w.Journal.Note(now, Wrote, uint64(l.Balancer), uint64(l.Node.Index), ask)
 	w.Seen.Wrote(l.Balancer, l.Node, op)
-	l.post(pRequest, true, 0)
+	l.post(pRequest, true, time.Duration(op.Upload/l.net.rate))
 }
 
-// Quiet says whether nothing has come since the last answer, as a look at the socket would.
-func (l *Link) Quiet() bool { return l.here }
+// Whole says whether the last byte of the request has left; what a socket's buffer takes leaves at once.
+func (l *Link) Whole() bool { return l.world.Clock.Now() >= l.wholeAt }
+
+// Open says whether the balancer's side is open.
+func (l *Link) Open() bool { return l.here }
+
+// Rest is the time from now until the last byte of an answer that flows, if nothing holds it up.
+func (l *Link) Rest() time.Duration {
+	return time.Duration(max(0, l.answer.Bytes-firstFlow) / l.net.rate)
+}
 
 // Close ends the balancer's side, whatever is under way.
 func (l *Link) Close() {
@@ -285,6 +299,7 @@
 		return
 	}
 	l.here = false
+	l.torn = !l.Whole()
 	l.world.Journal.Note(l.world.Clock.Now(), LinkEnded, uint64(l.Balancer), uint64(l.Node.Index), l.ID)
 	l.post(pHang, true, 0)
 	l.gone()
@@ -326,6 +341,9 @@
 			n.Shake(l)
 		}
 	case pRequest:
+		if l.torn {
+			return
+		}
 		if !l.alive() {
 			l.post(pReset, false, 0)
 			return
@@ -362,6 +380,10 @@
 		if l.here {
 			l.peer.LinkFlows(l, &l.answer)
 		}
+	case pHalt:
+		if l.here {
+			l.peer.LinkHalts(l)
+		}
 	case pAnswer:
 		if l.here {
 			l.Busy = false
@@ -424,11 +446,19 @@
 	if end == Finished {
 		a.Bytes = w.answerBytes(j.Op)
 	}
+	halts := l.Node.chance(l.Node.Halt)
+	if a.Bytes <= firstFlow && halts {
+		l.post(pHalt, false, 0)
+		return
+	}
 	if a.Bytes <= firstFlow {
 		l.post(pAnswer, false, time.Duration(a.Bytes/l.net.rate))
 		return
 	}
 	l.post(pFlow, false, time.Duration(firstFlow/l.net.rate))
+	if halts {
+		return
+	}
 	// The rest comes as the line gives; it ends where the process or the connection does.
 	l.body = w.Clock.After(time.Duration((a.Bytes-firstFlow)/l.net.rate), timeline.Func(func() {
 		l.used = w.Clock.Now()
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -64,6 +64,7 @@
 	Expires time.Duration // the clock's moment at which the balancer gives up; 0: never
 	To      Waiter
 	Op      *Op // what the client wants; nil where nobody keeps count
+	Run     int // which of its runs; a watcher's own
 
 	Arrived time.Duration
 	Began   time.Duration // when its turn came; valid once State is working or later
@@ -116,6 +117,7 @@
 	stolen  float64   // share of the machine that another program takes
 	hung    int       // reasons to stand still
 	stalled bool      // swallows requests
+	Halt    float64   // share of the answers that stop in their middle
 	fail    []float64 // by class: share that fails at once
 	lose    []float64 // by class: share that is swallowed
 
@@ -150,6 +152,8 @@
 type NodeWatcher interface {
 	// JobCame: a request has arrived whole, before anything is done with it.
 	JobCame(n *Node, j *Job)
+	// JobKept: it waits or is in work from now on.
+	JobKept(n *Node, j *Job)
 	// JobBegan: the work has begun, so the effect may be had.
 	JobBegan(n *Node, j *Job)
 }
@@ -315,16 +319,19 @@
 	case n.chance(n.fail[j.Class]):
 		n.since.failed++
 		if n.seen != nil { // it fails fast, yet who knows after what
+			n.seen.JobKept(n, j)
 			n.seen.JobBegan(n, j)
 		}
 		j.To.JobDone(j, Errored)
 	case len(n.working)-n.bare < n.Slots:
+		n.keep(j)
 		n.settle()
 		n.start(j)
 		n.setPace()
 	case n.Queue >= 0 && n.waiting >= n.Queue:
 		j.To.JobDone(j, Full)
 	default:
+		n.keep(j)
 		if n.CrowdLoss > 0 {
 			n.settle()
 		}
@@ -342,6 +349,12 @@
 	}
 }
 
+func (n *Node) keep(j *Job) {
+	if n.seen != nil {
+		n.seen.JobKept(n, j)
+	}
+}
+
 // Drop takes a job away whose sender has given it up: its connection has closed. Without Cancels the work goes on,
 // and the sender must then not use the job again: it is told so.
 func (n *Node) Drop(j *Job) (free bool) {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -41,7 +41,7 @@
 	Wished(op *Op)
 	// Taken: a balancer has read a request whole.
 	Taken(a *Ask)
-	// Answered: a balancer has begun to write its final answer; it is whole at the client at that moment.
+	// Answered: a balancer has written its final answer; it is whole at the client at that moment, if nothing is cut.
 	Answered(a *Ask, o Outcome, at time.Duration)
 	// Over: a request that a balancer has taken is over without an answer. why: Left, Crashed or Lost.
 	Over(a *Ask, why Kind)
@@ -199,7 +199,7 @@
 // BalancerZone is the zone of a balancer's machine.
 func (w *World) BalancerZone(i int) int { return w.Balancers[i].Zone }
 
-// JobCame and JobBegan pass on what nodes see.
+// JobCame, JobKept and JobBegan pass on what nodes see.
 func (w *World) JobCame(n *Node, j *Job) {
 	ask := uint64(0)
 	if l, ok := j.To.(*Link); ok {
@@ -209,6 +209,8 @@
 	w.Seen.JobCame(n, j)
 }
 
+func (w *World) JobKept(n *Node, j *Job) { w.Seen.JobKept(n, j) }
+
 func (w *World) JobBegan(n *Node, j *Job) {
 	w.Journal.Note(w.Clock.Now(), WorkBegan, uint64(n.Index), j.Op.Serial, 0)
 	w.Seen.JobBegan(n, j)
@@ -223,13 +225,14 @@
 	return op.Work
 }
 
-// answerBytes draws the size of an answer, evenly over the powers between the bounds.
-func (w *World) answerBytes(op *Op) float64 {
-	b := w.Classes[op.Class].Bytes
+func (w *World) answerBytes(op *Op) float64 { return drawSize(w.sizeRng, w.Classes[op.Class].Bytes) }
+
+// drawSize draws a size, evenly over the powers between the bounds.
+func drawSize(rng *rand.Rand, b scenario.Range) float64 {
 	if b[0] == b[1] {
 		return b[0]
 	}
-	return b[0] * math.Pow(b[1]/b[0], w.sizeRng.Float64())
+	return b[0] * math.Pow(b[1]/b[0], rng.Float64())
 }
 
 // ---- balancers' lives ----
@@ -300,7 +303,7 @@
 
 // endBalancer resets the connections of clients: what it had taken is over.
 func (w *World) endBalancer(s *Seat) {
-	s.Up = false
+	s.Up, s.reached = false, true // so that its end is told in any case
 	w.reach(s)
 	w.Front.gone(s)
 	asks := s.asks
