--- a/internal/lab/world/ask.go
+++ b/internal/lab/world/ask.go
@@ -26,7 +26,7 @@
 // Run is one group of app nodes at which an Op was taken, which drops repeats for the class's window.
 type Run struct {
 	Group int
-	At    time.Duration // when the first attempt of the group came
+	At    time.Duration // when the first attempt of the group was sent
 	Began bool
 }
 
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -63,8 +63,9 @@
 	Class   int
 	Expires time.Duration // the clock's moment at which the balancer gives up; 0: never
 	To      Waiter
-	Op      *Op // what the client wants; nil where nobody keeps count
-	Run     int // which of its runs; a watcher's own
+	Op      *Op           // what the client wants; nil where nobody keeps count
+	Sent    time.Duration // by the balancer
+	Run     int           // which of its runs; a watcher's own
 
 	Arrived time.Duration
 	Began   time.Duration // when its turn came; valid once State is working or later
