Take up a list in time that grows with it, not with its square

With 10,000 app nodes each line of a watch cost a balancer some 0.7 s, in which it did nothing else: the search for app nodes whose address another has taken, and for those that a whole list does not name, went through all for each.

--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"pewterrudder/brain"
 )
@@ -48,8 +49,12 @@
 		}
 	}
 	if l.Complete {
+		named := make(map[string]struct{}, len(l.Members)) // a search for each would take a second with 10,000 of them
+		for i := range l.Members {
+			named[l.Members[i].Server] = struct{}{}
+		}
 		for _, s := range slices.Clone(r.ordered) {
-			if !slices.ContainsFunc(l.Members, func(m brain.Member) bool { return m.Server == s.id }) {
+			if _, ok := named[s.id]; !ok {
 				r.drop(s)
 			}
 		}
@@ -66,8 +71,14 @@
 // displaced drops the servers at whose address another has started since, and gives the entries that tell the node:
 // that they are gone may be listed only later, and until then their calls would reach the new one.
 func (r *Reducer) displaced() (gone []brain.Member) {
+	latest := make(map[string]time.Duration, len(r.ordered)) // start at each address; it may lie before the clock's zero
+	for _, s := range r.ordered {
+		if at, ok := latest[s.address]; !ok || s.started > at {
+			latest[s.address] = s.started
+		}
+	}
 	for _, s := range slices.Clone(r.ordered) {
-		if slices.ContainsFunc(r.ordered, func(o *server) bool { return o.address == s.address && o.started > s.started }) {
+		if s.started < latest[s.address] {
 			r.drop(s)
 			gone = append(gone, brain.Member{Server: s.id, State: brain.Gone})
 		}
