--- a/internal/lab/world/ask.go
+++ b/internal/lab/world/ask.go
@@ -26,7 +26,8 @@
 // Run is one group of app nodes at which an Op was taken, which drops repeats for the class's window.
 type Run struct {
 	Group int
-	At    time.Duration // when the first attempt of the group was sent
+	Ask   uint64        // the client's latest try there
+	At    time.Duration // when the first attempt of that was sent
 	Began bool
 }
 
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -276,7 +276,7 @@
 	now := w.Clock.Now()
 	l.Busy, l.ask = true, ask
 	l.torn, l.wholeAt = false, now+time.Duration(max(0, op.Upload-firstFlow)/l.net.rate)
-	l.job = Job{Class: op.Class, Op: op, To: l, Sent: now, Expires: now + wait}
+	l.job = Job{Class: op.Class, Op: op, To: l, Ask: ask, Sent: now, Expires: now + wait}
 	w.Journal.Note(now, Wrote, uint64(l.Balancer), uint64(l.Node.Index), ask)
 	w.Seen.Wrote(l.Balancer, l.Node, op)
 	l.post(pRequest, true, time.Duration(op.Upload/l.net.rate))
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -64,6 +64,7 @@
 	Expires time.Duration // the clock's moment at which the balancer gives up; 0: never
 	To      Waiter
 	Op      *Op           // what the client wants; nil where nobody keeps count
+	Ask     uint64        // the client's try that it is for
 	Sent    time.Duration // by the balancer
 	Run     int           // which of its runs; a watcher's own
 
