--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -354,7 +354,7 @@
 
 func (o *Oracle) width() time.Duration { return o.sc.Rules.FallFor.D() / slices }
 
-func (o *Oracle) JobCame(n *world.Node, j *world.Job) {
+func (o *Oracle) JobCame(n *world.Node, j *world.Job, balancer int) {
 	for len(o.loads) <= n.Index {
 		o.loads = append(o.loads, nil)
 	}
@@ -372,7 +372,7 @@
 	l.work[i] += j.Work
 	o.Work += j.Work
 	if warmth := n.Warmth(); warmth < 1 {
-		o.cold(n, l, j, warmth)
+		o.cold(n, l, j, balancer, warmth)
 	}
 }
 
@@ -406,12 +406,12 @@
 
 // cold holds the work of the window against the budget of a cold node. It counts where two thirds of it came from
 // balancers that were told of the start.
-func (o *Oracle) cold(n *world.Node, l *load, j *world.Job, warmth float64) {
+func (o *Oracle) cold(n *world.Node, l *load, j *world.Job, balancer int, warmth float64) {
 	r := &o.sc.Rules
 	if r.ColdFor <= 0 {
 		return
 	}
-	if link, ok := j.To.(*world.Link); ok && o.start[link.Balancer][n] == n.Epoch {
+	if o.start[balancer][n] == n.Epoch {
 		l.told[l.at%slices] += j.Work
 	}
 	work, told := 0.0, 0.0
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -349,6 +349,8 @@
 			return
 		}
 		l.used = w.Clock.Now()
+		l.job.Work = w.attemptWork(l.job.Op, n)
+		w.jobCame(l)
 		if !l.began {
 			l.parked = true
 			return
@@ -400,10 +402,7 @@
 }
 
 // take hands the request to the machine.
-func (l *Link) take() {
-	l.job.Work = l.world.attemptWork(l.job.Op, l.Node)
-	l.Node.Take(&l.job)
-}
+func (l *Link) take() { l.Node.Take(&l.job) }
 
 // leave ends the app node's side.
 func (l *Link) leave() {
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -152,8 +152,6 @@
 
 // NodeWatcher sees what happens at app nodes.
 type NodeWatcher interface {
-	// JobCame: a request has arrived whole, before anything is done with it.
-	JobCame(n *Node, j *Job)
 	// JobKept: it waits or is in work from now on.
 	JobKept(n *Node, j *Job)
 	// JobBegan: the work has begun, so the effect may be had.
@@ -309,9 +307,6 @@
 func (n *Node) Take(j *Job) {
 	j.Arrived = n.clock.Now()
 	j.state = jobOver
-	if n.seen != nil {
-		n.seen.JobCame(n, j)
-	}
 	switch {
 	case n.stalled || n.chance(n.lose[j.Class]):
 		j.state = jobLost
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -37,6 +37,8 @@
 // Watcher sees all that happens in the world that a verdict or a result may rest on.
 type Watcher interface {
 	NodeWatcher
+	// JobCame: a request of a balancer has arrived whole at an app node, before anything is done with it.
+	JobCame(n *Node, j *Job, balancer int)
 	// Wished: a client's wish comes up.
 	Wished(op *Op)
 	// Taken: a balancer has read a request whole.
@@ -199,16 +201,12 @@
 // BalancerZone is the zone of a balancer's machine.
 func (w *World) BalancerZone(i int) int { return w.Balancers[i].Zone }
 
-// JobCame, JobKept and JobBegan pass on what nodes see.
-func (w *World) JobCame(n *Node, j *Job) {
-	ask := uint64(0)
-	if l, ok := j.To.(*Link); ok {
-		ask = l.ask
-	}
-	w.Journal.Note(w.Clock.Now(), CameToNode, uint64(n.Index), ask, uint64(j.Work*1e3))
-	w.Seen.JobCame(n, j)
+func (w *World) jobCame(l *Link) {
+	w.Journal.Note(w.Clock.Now(), CameToNode, uint64(l.Node.Index), l.ask, uint64(l.job.Work*1e3))
+	w.Seen.JobCame(l.Node, &l.job, l.Balancer)
 }
 
+// JobKept and JobBegan pass on what nodes see.
 func (w *World) JobKept(n *Node, j *Job) { w.Seen.JobKept(n, j) }
 
 func (w *World) JobBegan(n *Node, j *Job) {
