--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -190,7 +190,8 @@
 	for _, w := range []struct {
 		key, value string
 		words      []string
-	}{{"front.spread", s.Front.Spread, []string{"random", "in_turn"}},
+	}{{"reports.how", s.Reports.How, []string{"answers", "polled"}},
+		{"front.spread", s.Front.Spread, []string{"random", "in_turn"}},
 		{"discovery.weights", s.Discovery.Weights, []string{"off", "nominal", "rough", "live"}},
 		{"rules.worth_by", s.Rules.WorthBy, []string{"work", "request"}}} {
 		if flaw := oneOf(w.key, w.value, w.words...); flaw != nil {
@@ -228,6 +229,10 @@
 		return bad("network.client", n.Client[0].D())
 	case n.Jitter < 0 || n.Jitter >= 1:
 		return bad("network.jitter", n.Jitter)
+	case n.Grain[0] < 0:
+		return bad("network.grain", n.Grain[0].D())
+	case s.Reports.How == "polled" && s.Reports.Every[0] <= 0:
+		return bad("reports.every", s.Reports.Every[0].D())
 	case n.Rate <= 0:
 		return bad("network.rate", n.Rate)
 	case l.MaxAttempts < 1:
--- a/internal/lab/scenario/defaults.go
+++ b/internal/lab/scenario/defaults.go
@@ -16,7 +16,7 @@
 		Zones:  []string{"a"},
 		Balancers: Balancers{Count: 1, Sockets: 1024, ReadyIn: ms(100),
 			Known: "last"},
-		Reports: Reports{Columns: []string{"busy", "waiting"}, Every: span(500, 1000), Delay: span(50, 300),
+		Reports: Reports{Columns: []string{"busy", "waiting"}, How: "answers", Every: span(500, 1000), Delay: span(50, 300),
 			Noise: Range{0.03, 0.03}},
 		Traffic: Traffic{Process: "poisson", High: 4, Share: 0.1},
 		Clients: Clients{Backoff: span(10, 40), Growth: 1, Honour: 1, Patience: Range{1, 1}, Marks: true,
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -147,6 +147,7 @@
 // Reports are the load reports in answers.
 type Reports struct {
 	Columns []string `json:"columns"` // held, waiting, busy, took_ms, per_second, errors_per_second
+	How     string   `json:"how"`     // answers: each carries the last; polled: every balancer gets all of them at once
 	Every   Span     `json:"every"`
 	Delay   Span     `json:"delay"`
 	Noise   Range    `json:"noise"`
@@ -245,6 +246,7 @@
 	Client Span    `json:"client"`
 	Jitter float64 `json:"jitter"` // share by which a message's time differs, evenly
 	Rate   float64 `json:"rate"`   // megabytes a second of one connection, for answers that flow
+	Grain  Span    `json:"grain"`  // messages arrive and timers go off at multiples of it, so that many meet at one instant
 }
 
 // Limits are what balancers are told that they may do.
@@ -286,6 +288,7 @@
 // Fault is something that goes wrong, or a class of such things to draw from where its figures are ranges.
 type Fault struct {
 	Kind      string  `json:"kind"`
+	Draw      string  `json:"draw"` // names the stream of its draws; else its place in the list does
 	At        Span    `json:"at"`
 	For       Span    `json:"for"`
 	Every     Span    `json:"every"`  // between pauses, on and off times, steps of a deploy, flaps
--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -277,7 +277,7 @@
 		t = new(armed)
 	}
 	*t = armed{b, b.life, ev}
-	r.clock.After(after, t)
+	r.clock.After(r.world.Net.Coarse(after), t)
 }
 
 // later hands an event to the reducer after a moment, as one that comes from another goroutine.
@@ -440,17 +440,25 @@
 	default:
 		e.Result = reducer.Shed
 	}
-	if a.Loaded && len(p.run.columns) > 0 {
-		p.report = p.report[:0]
-		for _, column := range p.run.columns {
-			p.report = append(p.report, column(&a.Report))
-		}
-		e.Report = p.report
+	if a.Loaded && p.run.sc.Reports.How == "answers" {
+		e.Report = (*balancer)(p).values(&a.Report)
 	}
 	k.flowEnded(true)
 	k.b.handle(e)
 }
 
+// values gives a report the form that the settings name; it is used again for the next one.
+func (b *balancer) values(r *world.Report) []float64 {
+	if len(b.run.columns) == 0 {
+		return nil
+	}
+	b.report = b.report[:0]
+	for _, column := range b.run.columns {
+		b.report = append(b.report, column(r))
+	}
+	return b.report
+}
+
 func (p *peer) LinkEnded(l *world.Link) {
 	k := connOf(l)
 	switch {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -180,6 +180,9 @@
 	if r.opt.Recorder != nil && r.opt.Sample > 0 {
 		r.armSample()
 	}
+	if r.sc.Reports.How == "polled" {
+		r.world.Poll(r.polled)
+	}
 	r.clock.Run(r.world.End)
 	r.finish()
 	r.oracle.Close()
@@ -224,6 +227,9 @@
 		last = max(last, e.To)
 	}
 	r.clock.Run(last + r.sc.Limits.IdleClose.D() + longest + 2*afterwards)
+	if n := r.world.Net.Links(); n > 0 {
+		r.oracle.Break(oracle.Leaks, "%d connections to app nodes are open long after the last use", n)
+	}
 	for i, b := range r.balancers {
 		if !b.serving {
 			continue
@@ -248,6 +254,20 @@
 	fmt.Fprintf(r.opt.Log, "%12.6f balancer %d: %s\n", r.clock.Now().Seconds(), balancer, text)
 }
 
+// polled hands every balancer's decider the load of an app node, as the answer to a probe. It goes past the reducer,
+// which knows no probes, so a decider must not want anything done at that moment.
+func (r *run) polled(n *world.Node, report *world.Report) {
+	for _, b := range r.balancers {
+		if !b.serving {
+			continue
+		}
+		ev := &brain.ProbeEnded{Server: n.ID, Outcome: brain.OK, Report: b.values(report)}
+		if len(b.decider.Handle(b.now(), ev, nil)) > 0 {
+			panic("virtual: a decider acts on a report that was polled")
+		}
+	}
+}
+
 // ---- samples ----
 
 func (r *run) armSample() {
@@ -313,6 +333,9 @@
 			FallFor: sc.Rules.FallFor.D()}}
 	if len(sc.Reports.Columns) > 0 {
 		s.Reports = brain.ReportsInline
+		if sc.Reports.How == "polled" { // by somebody else: it is not the balancers' to ask
+			s.Reports = brain.ReportsOnProbe
+		}
 		for _, c := range sc.Reports.Columns {
 			s.Columns = append(s.Columns, columns[c])
 		}
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -38,7 +38,11 @@
 func (w *World) armFaults() {
 	for i := range w.Sc.Faults {
 		f := &w.Sc.Faults[i]
-		src := w.Chance.Under("faults/" + strconv.Itoa(i))
+		name := f.Draw
+		if name == "" {
+			name = strconv.Itoa(i)
+		}
+		src := w.Chance.Under("faults/" + name)
 		rng := src.Stream("which")
 		if rng.Float64() >= f.Chance {
 			continue
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -35,6 +35,7 @@
 	// Loss of a machine is not a cut: what was sent to it is gone.
 	jitter float64
 	rate   float64 // bytes a nanosecond
+	grain  time.Duration
 	free   []*parcel
 	links  int // open at either end
 }
@@ -54,6 +55,7 @@
 	n.extra = make([]time.Duration, size*size)
 	n.cuts = make([]int, size*size)
 	n.held = make([][]*parcel, size*size)
+	n.grain = draw(rng, sc.Network.Grain)
 	same, cross, client := draw(rng, sc.Network.Same), draw(rng, sc.Network.Cross), draw(rng, sc.Network.Client)
 	for a := range size {
 		for b := range size {
@@ -91,7 +93,16 @@
 func (n *Net) delay(a, b Place) time.Duration {
 	p := n.path(a, b)
 	d := float64(n.base[p]) * (1 + n.jitter*(2*n.rng.Float64()-1))
-	return time.Duration(d) + n.extra[p]
+	return n.Coarse(time.Duration(d) + n.extra[p])
+}
+
+// Coarse lengthens a wait so that it ends at a multiple of the grain.
+func (n *Net) Coarse(d time.Duration) time.Duration {
+	if n.grain <= 0 {
+		return d
+	}
+	now := n.clock.Now()
+	return (now+d+n.grain-1)/n.grain*n.grain - now
 }
 
 // each calls fn for the paths between two sides; a side is a zone's name, a role's, or empty for all.
@@ -441,7 +452,9 @@
 	l.used = w.Clock.Now()
 	a := &l.answer
 	*a = Answer{Op: j.Op, Ask: l.ask, End: end, Node: l.Node, Bytes: 200}
-	a.Report, a.Loaded = l.Node.Load()
+	if w.Sc.Reports.How == "answers" {
+		a.Report, a.Loaded = l.Node.Load()
+	}
 	if end == Finished {
 		a.Bytes = w.answerBytes(j.Op)
 	}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -173,6 +173,9 @@
 		ReportEvery: draw(rng, w.Sc.Reports.Every), ReportDelay: draw(rng, w.Sc.Reports.Delay),
 		ReportNoise: drawRange(rng, w.Sc.Reports.Noise), Errors: drawRange(rng, g.Errors), Cancels: g.Cancels,
 		Expires: g.Expires, HangEvery: draw(rng, g.HangEvery), HangFor: draw(rng, g.HangFor)}
+	if w.Sc.Reports.How == "polled" {
+		spec.ReportEvery = 0 // a sample begins a new stretch, and the polls' are the ones that count
+	}
 	n := NewNode(w.Clock, spec, w.Chance.Stream("nodes/"+strconv.Itoa(index)), len(w.Classes), w)
 	n.Index, n.Group = index, group
 	if address < 0 {
@@ -233,6 +236,22 @@
 	return b[0] * math.Pow(b[1]/b[0], rng.Float64())
 }
 
+// Poll takes the load of all app nodes every so often, all at one moment, and hands each on.
+func (w *World) Poll(to func(n *Node, r *Report)) {
+	every := draw(w.nodeRng, w.Sc.Reports.Every)
+	w.Clock.After(every, timeline.Func(func() {
+		for _, n := range w.Nodes {
+			if n.Up && !n.Draining {
+				report := n.sample()
+				to(n, &report)
+			}
+		}
+		if w.Clock.Now() < w.End {
+			w.Poll(to)
+		}
+	}))
+}
+
 // ---- balancers' lives ----
 
 // Open starts the balancers, the clients and the faults.
