--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -8,6 +8,7 @@
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/config"
+	"pewterrudder/internal/lab/oracle"
 	"pewterrudder/internal/lab/timeline"
 	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
@@ -175,6 +176,9 @@
 	return true
 }
 
+// bodyGone marks a request whose body has been read off its client's connection, on its way to an app node.
+var bodyGone = new(struct{ _ byte })
+
 // held is the size up to which bodies are kept whole, either way.
 const held = 64 << 10
 
@@ -189,8 +193,9 @@
 
 func (b *balancer) answer(e reducer.Answer) {
 	a := b.calls[e.Call]
-	if a == nil { // its client has left
-		b.run.strays++
+	if a == nil {
+		b.run.oracle.Break(oracle.Answers, "balancer %d answers request %d, which has its answer or whose client has left", b.index,
+			e.Call)
 		return
 	}
 	o := world.Outcome{After: e.Reply.After, Closes: b.draining}
@@ -329,6 +334,12 @@
 		b.later(readerWakes, reducer.Exchanged{Conn: e.Conn, Written: reducer.Nothing, Err: errReset})
 		return
 	}
+	if e.Call.OneShot {
+		if a.Data == bodyGone {
+			b.run.oracle.Break(oracle.Sound, "balancer %d sends request %d again, whose body is gone", b.index, a.ID)
+		}
+		a.Data = bodyGone
+	}
 	k.busy, k.flows, k.ask, k.shot, k.stall, k.flow = true, false, nil, e.Call.OneShot, e.Stall, e.FlowStall
 	k.link.Send(a.Op, a.ID, e.Wait)
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -107,7 +107,6 @@
 	freeArmed []*armed
 	handled   uint64
 	logged    uint64
-	strays    uint64 // answers to calls whose clients have left
 	sample    Sample
 	busy      []float64
 }
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -193,11 +193,12 @@
 	there    bool // the app node has
 	began    bool // the handshake is done
 	epoch    int
-	place    int // among the node's links
-	job      Job
-	parked   bool // a request waits for the handshake
-	answer   Answer
-	ask      uint64
+	place    int    // among the node's links
+	own      Job    // serves as long as requests come one at a time
+	jobs     []*Job // sent and not answered, in order
+	came     int    // how many of them have arrived; the app node works at the first alone
+	answer   Answer // likewise
+	said     []*Answer
 	used     time.Duration
 	idle     timeline.Timer
 	lastOut  time.Duration // arrival of the latest message, either way: the order of a connection
@@ -285,9 +286,14 @@
 func (l *Link) Send(op *Op, ask uint64, wait time.Duration) {
 	w := l.world
 	now := w.Clock.Now()
-	l.Busy, l.ask = true, ask
+	l.Busy = true
 	l.torn, l.wholeAt = false, now+time.Duration(max(0, op.Upload-firstFlow)/l.net.rate)
-	l.job = Job{Class: op.Class, Op: op, To: l, Ask: ask, Sent: now, Expires: now + wait}
+	j := &l.own
+	if len(l.jobs) > 0 || j.To != nil { // no balancer should, and then the answers come in this order
+		j = new(Job)
+	}
+	*j = Job{Class: op.Class, Op: op, To: l, Ask: ask, Sent: now, Expires: now + wait}
+	l.jobs = append(l.jobs, j)
 	w.Journal.Note(now, Wrote, uint64(l.Balancer), uint64(l.Node.Index), ask)
 	w.Seen.Wrote(l.Balancer, l.Node, op)
 	l.post(pRequest, true, time.Duration(op.Upload/l.net.rate))
@@ -301,7 +307,10 @@
 
 // Rest is the time from now until the last byte of an answer that flows, if nothing holds it up.
 func (l *Link) Rest() time.Duration {
-	return time.Duration(max(0, l.answer.Bytes-firstFlow) / l.net.rate)
+	if len(l.said) == 0 {
+		return 0
+	}
+	return time.Duration(max(0, l.said[0].Bytes-firstFlow) / l.net.rate)
 }
 
 // Close ends the balancer's side, whatever is under way.
@@ -360,19 +369,18 @@
 			return
 		}
 		l.used = w.Clock.Now()
-		l.job.Work = w.attemptWork(l.job.Op, n)
-		w.jobCame(l)
-		if !l.began {
-			l.parked = true
-			return
+		j := l.jobs[l.came]
+		l.came++
+		j.Work = w.attemptWork(j.Op, n)
+		w.jobCame(l, j)
+		if l.began && l.came == 1 {
+			n.Take(j)
 		}
-		l.take()
 	case pRested:
 		if l.alive() {
 			l.began = true
-			if l.parked {
-				l.parked = false
-				l.take()
+			if l.came > 0 {
+				n.Take(l.jobs[0])
 			}
 		}
 	case pHang:
@@ -391,7 +399,7 @@
 		}
 	case pFlow:
 		if l.here {
-			l.peer.LinkFlows(l, &l.answer)
+			l.peer.LinkFlows(l, l.said[0])
 		}
 	case pHalt:
 		if l.here {
@@ -399,8 +407,10 @@
 		}
 	case pAnswer:
 		if l.here {
-			l.Busy = false
-			l.peer.LinkAnswered(l, &l.answer)
+			l.Busy = len(l.jobs) > 0
+			a := l.said[0]
+			l.said = l.said[:copy(l.said, l.said[1:])]
+			l.peer.LinkAnswered(l, a)
 		}
 	case pReset:
 		if l.here {
@@ -412,28 +422,34 @@
 	}
 }
 
-// take hands the request to the machine.
-func (l *Link) take() { l.Node.Take(&l.job) }
-
 // leave ends the app node's side.
 func (l *Link) leave() {
-	l.parked = false
 	l.there = false
 	l.idle.Stop()
 	l.body.Stop()
 	n := l.Node
+	first := l.first()
+	l.jobs, l.came = nil, 0
 	end := len(n.links) - 1
 	n.links[l.place] = n.links[end]
 	n.links[l.place].place = l.place
 	n.links[end] = nil
 	n.links = n.links[:end]
 	n.Release()
-	if l.job.To != nil {
-		n.Drop(&l.job)
+	if first != nil {
+		n.Drop(first)
 	}
 	l.gone()
 }
 
+// first is the request that the app node has in hand.
+func (l *Link) first() *Job {
+	if l.came == 0 {
+		return nil
+	}
+	return l.jobs[0]
+}
+
 // JobDone: the machine is done with the handshake (nil) or with the request.
 func (l *Link) JobDone(j *Job, end JobEnd) {
 	w := l.world
@@ -444,14 +460,26 @@
 		}
 		return
 	}
-	w.Journal.Note(w.Clock.Now(), WorkEnded, uint64(l.Node.Index), l.ask, uint64(end))
+	w.Journal.Note(w.Clock.Now(), WorkEnded, uint64(l.Node.Index), j.Ask, uint64(end))
 	if !l.there { // work that went on after its connection had ended
 		return
 	}
 	j.To = nil
+	l.jobs = l.jobs[:copy(l.jobs, l.jobs[1:])]
+	if l.came--; l.came > 0 {
+		w.Clock.After(0, timeline.Func(func() {
+			if l.alive() {
+				l.Node.Take(l.jobs[0])
+			}
+		}))
+	}
 	l.used = w.Clock.Now()
 	a := &l.answer
-	*a = Answer{Op: j.Op, Ask: l.ask, End: end, Node: l.Node, Bytes: 200}
+	if len(l.said) > 0 {
+		a = new(Answer)
+	}
+	l.said = append(l.said, a)
+	*a = Answer{Op: j.Op, Ask: j.Ask, End: end, Node: l.Node, Bytes: 200}
 	if w.Sc.Reports.How == "answers" {
 		a.Report, a.Loaded = l.Node.Load()
 	}
@@ -498,7 +526,7 @@
 	if !l.alive() {
 		return
 	}
-	if l.job.To != nil || l.parked || l.world.Clock.Now()-l.used < l.Node.IdleClose {
+	if l.came > 0 || l.world.Clock.Now()-l.used < l.Node.IdleClose {
 		l.used = max(l.used, l.world.Clock.Now()-l.Node.IdleClose+time.Second)
 		l.armIdle()
 		return
@@ -514,7 +542,7 @@
 		if silent && l.here {
 			n.ghosts = append(n.ghosts, l)
 		}
-		l.there, l.parked = false, false
+		l.there, l.jobs, l.came = false, nil, 0
 		l.idle.Stop()
 		l.body.Stop()
 		if !silent {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -204,9 +204,9 @@
 // BalancerZone is the zone of a balancer's machine.
 func (w *World) BalancerZone(i int) int { return w.Balancers[i].Zone }
 
-func (w *World) jobCame(l *Link) {
-	w.Journal.Note(w.Clock.Now(), CameToNode, uint64(l.Node.Index), l.ask, uint64(l.job.Work*1e3))
-	w.Seen.JobCame(l.Node, &l.job, l.Balancer)
+func (w *World) jobCame(l *Link, j *Job) {
+	w.Journal.Note(w.Clock.Now(), CameToNode, uint64(l.Node.Index), j.Ask, uint64(j.Work*1e3))
+	w.Seen.JobCame(l.Node, j, l.Balancer)
 }
 
 // JobKept and JobBegan pass on what nodes see.
