--- a/internal/lab/timeline/real.go
+++ b/internal/lab/timeline/real.go
@@ -22,7 +22,10 @@
 
 func (c *Real) Now() time.Duration { return time.Since(c.begin) }
 
-func (c *Real) After(d time.Duration, t Task) Timer { return c.push(c.Now()+max(0, d), t) }
+func (c *Real) After(d time.Duration, t Task) Timer {
+	now := c.Now()
+	return c.push(now, now+max(0, d), t)
+}
 
 // Do has a function run on the clock's goroutine; it may be called from any other.
 func (c *Real) Do(fn func()) { c.inbox <- fn }
--- a/internal/lab/timeline/timeline.go
+++ b/internal/lab/timeline/timeline.go
@@ -59,10 +59,14 @@
 	life uint32
 }
 
-// queue is a four-way heap: half as deep as a binary one, and the children of a node share a cache line or two.
-// A stopped task's entry stays until its time, or until such entries are the most.
+// queue is a four-way heap: half as deep as a binary one, and the children of a node share a cache line or two. What
+// is due later waits unsorted in days until the heap gets there: most deadlines are stopped long before, and never
+// enter it. A stopped task's entry stays until its time, or until such entries are the most of the heap.
 type queue struct {
 	heap  []entry
+	days  [dayCount][]entry
+	later int   // entries in days
+	day   int64 // the first day that is not in the heap yet
 	slots []slot
 	free  []int32
 	live  int
@@ -70,7 +74,15 @@
 	seed  uint64
 }
 
-func (q *queue) push(at time.Duration, t Task) Timer {
+// A day is 2^26 ns, 67 ms: longer than what a message takes, shorter than a deadline. There are 34 s of them; what is
+// further off goes into the heap, and is rare.
+const (
+	dayBits  = 26
+	dayCount = 512
+)
+
+// push sets a task; now is the clock's time.
+func (q *queue) push(now, at time.Duration, t Task) Timer {
 	var i int32
 	if n := len(q.free); n > 0 {
 		i, q.free = q.free[n-1], q.free[:n-1]
@@ -87,11 +99,44 @@
 	if q.seed != 0 {
 		key = mix(q.order ^ q.seed)
 	}
-	q.heap = append(q.heap, entry{at, key, i})
-	q.up(len(q.heap) - 1)
+	if q.later == 0 {
+		q.day = max(q.day, int64(now)>>dayBits+1)
+	}
+	if day := int64(at) >> dayBits; day >= q.day && day < q.day+dayCount {
+		q.days[day%dayCount] = append(q.days[day%dayCount], entry{at, key, i})
+		q.later++
+		return Timer{q, i, s.life}
+	}
+	q.enter(entry{at, key, i})
 	return Timer{q, i, s.life}
 }
 
+func (q *queue) enter(e entry) {
+	q.heap = append(q.heap, e)
+	q.up(len(q.heap) - 1)
+}
+
+// dawn takes the next day into the heap.
+func (q *queue) dawn() {
+	of := &q.days[q.day%dayCount]
+	for _, e := range *of {
+		if q.slots[e.slot].task != nil {
+			q.enter(e)
+		} else {
+			q.release(e.slot)
+		}
+	}
+	q.later -= len(*of)
+	*of = (*of)[:0]
+	q.day++
+}
+
+// release gives a slot back; timers of its task name it no more.
+func (q *queue) release(slot int32) {
+	q.slots[slot].life++
+	q.free = append(q.free, slot)
+}
+
 // mix is the finish of SplitMix64: a permutation, so that no two tasks share a key.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -143,13 +188,18 @@
 
 // next gives the time of the first task that is not stopped.
 func (q *queue) next() (time.Duration, bool) {
-	for len(q.heap) > 0 {
-		if q.slots[q.heap[0].slot].task != nil {
+	for {
+		switch {
+		case q.later > 0 && (len(q.heap) == 0 || int64(q.heap[0].at)>>dayBits >= q.day):
+			q.dawn()
+		case len(q.heap) == 0:
+			return 0, false
+		case q.slots[q.heap[0].slot].task != nil:
 			return q.heap[0].at, true
+		default:
+			q.pop()
 		}
-		q.pop()
 	}
-	return 0, false
 }
 
 // pop takes the first entry; its task is nil where it was stopped.
@@ -167,15 +217,14 @@
 		s.task = nil
 		q.live--
 	}
-	s.life++
-	q.free = append(q.free, e.slot)
+	q.release(e.slot)
 	return t
 }
 
 // compact throws out what was stopped once it is most of the heap, so that timers set far ahead and stopped at once
 // cost no memory.
 func (q *queue) compact() {
-	if len(q.heap) < 1024 || len(q.heap) < 4*q.live {
+	if len(q.heap) < 1024 || len(q.heap) < 4*max(1, q.live-q.later) {
 		return
 	}
 	kept := q.heap[:0]
@@ -184,8 +233,7 @@
 			kept = append(kept, e)
 			continue
 		}
-		q.slots[e.slot].life++
-		q.free = append(q.free, e.slot)
+		q.release(e.slot)
 	}
 	q.heap = kept
 	for i := (len(q.heap) - 2) / 4; i >= 0 && len(q.heap) > 1; i-- {
@@ -209,7 +257,7 @@
 
 func (v *Virtual) Now() time.Duration { return v.now }
 
-func (v *Virtual) After(d time.Duration, t Task) Timer { return v.push(v.now+max(0, d), t) }
+func (v *Virtual) After(d time.Duration, t Task) Timer { return v.push(v.now, v.now+max(0, d), t) }
 
 // Step runs the next task, if there is one.
 func (v *Virtual) Step() bool {
--- a/internal/lab/timeline/timeline_test.go
+++ b/internal/lab/timeline/timeline_test.go
@@ -16,6 +16,9 @@
 	stopped := 0
 	for i := range 20_000 {
 		at := rng.IntN(500)
+		if i%2 == 0 { // some far off, within and beyond what is kept by days
+			at = int(rng.Int64N(int64(50*time.Second)) / 1e9 * 1e9)
+		}
 		timer := v.After(time.Duration(at), Func(func() {
 			if v.Now() != time.Duration(at) {
 				t.Fatalf("a task for %d runs at %d", at, v.Now())
@@ -29,8 +32,8 @@
 			stopped++
 		}
 	}
-	v.Run(time.Second)
-	if len(ran) != 20_000-stopped || v.Waiting() != 0 || v.Now() != time.Second {
+	v.Run(time.Minute)
+	if len(ran) != 20_000-stopped || v.Waiting() != 0 || v.Now() != time.Minute {
 		t.Errorf("%d ran of %d, %d wait, it is %v", len(ran), 20_000-stopped, v.Waiting(), v.Now())
 	}
 	if !slices.IsSortedFunc(ran, func(a, b done) int {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -91,7 +91,9 @@
 // Class is a class of requests, drawn for the run.
 type Class struct {
 	*scenario.Class
-	Work chance.Dist
+	Work       chance.Dist
+	noiseMu    float64 // of the logarithm of the factor between attempts
+	noiseSigma float64
 }
 
 // Seat is the place of a balancer: its name and address stay, whatever process runs there.
@@ -121,7 +123,12 @@
 	draws := src.Stream("classes")
 	for i := range sc.Classes {
 		c := &sc.Classes[i]
-		w.Classes = append(w.Classes, Class{c, distOf(&c.Work, drawRange(draws, c.Work.Mean))})
+		k := Class{Class: c, Work: distOf(&c.Work, drawRange(draws, c.Work.Mean))}
+		if cv := c.Work.Noise; cv > 0 {
+			s2 := math.Log(1 + cv*cv)
+			k.noiseMu, k.noiseSigma = -s2/2, math.Sqrt(s2)
+		}
+		w.Classes = append(w.Classes, k)
 	}
 	w.Discovery = newDiscovery(w)
 	inZone := 0
@@ -219,9 +226,8 @@
 
 // attemptWork is what a request costs at one app node: each attempt differs a little.
 func (w *World) attemptWork(op *Op, n *Node) float64 {
-	if cv := w.Classes[op.Class].Class.Work.Noise; cv > 0 {
-		s2 := math.Log(1 + cv*cv)
-		return op.Work * math.Exp(math.Sqrt(s2)*n.rng.NormFloat64()-s2/2)
+	if k := &w.Classes[op.Class]; k.noiseSigma > 0 {
+		return op.Work * math.Exp(k.noiseMu+k.noiseSigma*n.rng.NormFloat64())
 	}
 	return op.Work
 }
