--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -112,6 +112,7 @@
 		return
 	}
 	d.state(n, s)
+	d.w.Journal.Note(d.w.Clock.Now(), Learned, uint64(n.Index), uint64(s), uint64(d.lies[n]))
 	if d.lies[n] == 0 {
 		d.w.Seen.Knew(n, s)
 	}
@@ -205,34 +206,36 @@
 	return s.d.w.Net.At(Balancers, s.seat.Zone), s.d.w.Net.At(DiscoverySide, 0)
 }
 
-// up carries a call to discovery; what is sent into a cut is lost: the caller's patience ends first.
+// up carries a call to discovery.
 func (s *Stream) up(fn func()) {
 	a, b := s.places()
-	net := s.d.w.Net
-	if net.Cut(a, b) {
-		return
-	}
-	s.d.w.Clock.After(net.delay(a, b), timeline.Func(func() {
-		if !s.over {
-			fn()
-		}
-	}))
+	s.d.w.Net.send(a, b, func(takes time.Duration) {
+		s.d.w.Clock.After(takes, timeline.Func(func() {
+			if !s.over {
+				fn()
+			}
+		}))
+	})
 }
 
-// down carries a message to the balancer, in order; false: it is lost.
-func (s *Stream) down(fn func()) bool {
+// down carries a message to the balancer, in order. gone is done as it leaves: after a cut that it was written into.
+func (s *Stream) down(gone, fn func()) {
 	a, b := s.places()
 	w := s.d.w
-	if w.Net.Cut(b, a) {
-		return false
-	}
-	s.delivered = max(w.Clock.Now()+w.Net.delay(b, a), s.delivered+1)
-	w.Clock.After(s.delivered-w.Clock.Now(), timeline.Func(func() {
-		if !s.over && s.seat.Up && s.seat.Life == s.life {
-			fn()
+	w.Net.send(b, a, func(takes time.Duration) {
+		if s.over || !s.seat.Up || s.seat.Life != s.life {
+			return
 		}
-	}))
-	return true
+		if gone != nil {
+			gone()
+		}
+		s.delivered = max(w.Clock.Now()+takes, s.delivered+1)
+		w.Clock.After(s.delivered-w.Clock.Now(), timeline.Func(func() {
+			if !s.over && s.seat.Up && s.seat.Life == s.life {
+				fn()
+			}
+		}))
+	})
 }
 
 // queue has a call wait its turn.
@@ -261,7 +264,7 @@
 			s.open = true
 			s.last = now
 			d.watches = append(d.watches, s)
-			s.down(s.to.Opened)
+			s.down(nil, s.to.Opened)
 			s.write()
 			s.armBlank()
 		}
@@ -278,19 +281,24 @@
 	l := d.from(s.since)
 	s.since, s.last = d.rev, w.Clock.Now()
 	w.Journal.Note(w.Clock.Now(), ListWritten, uint64(s.seat.Index), uint64(l.Revision), uint64(len(l.Entries)))
-	if !s.down(func() { s.to.Line(&l) }) {
-		return
-	}
+	s.down(func() { w.told(s.seat.Index, &l) }, func() { s.to.Line(&l) })
+}
+
+// told: a balancer counts as told of what is on a list, and of what is not on a whole one.
+func (w *World) told(balancer int, l *List) {
 	for i := range l.Entries {
-		w.Seen.Told(s.seat.Index, l.Entries[i].Node, l.Entries[i].State)
+		if !l.Complete {
+			w.Journal.Note(w.Clock.Now(), ToldOf, uint64(balancer), uint64(l.Entries[i].Node.Index), uint64(l.Entries[i].State))
+		}
+		w.Seen.Told(balancer, l.Entries[i].Node, l.Entries[i].State)
 	}
 	if l.Complete {
-		w.toldWhole(s.seat.Index, &l)
+		w.toldWhole(balancer)
 	}
 }
 
 // toldWhole: what is not on a whole list is told to be gone.
-func (w *World) toldWhole(balancer int, l *List) {
+func (w *World) toldWhole(balancer int) {
 	d := w.Discovery
 	for i := range d.entries {
 		if e := d.shown(&d.entries[i]); e.State == Gone {
@@ -317,7 +325,7 @@
 		}
 		if w.Clock.Now()-s.last >= every {
 			s.last = w.Clock.Now()
-			s.down(func() { s.to.Line(nil) })
+			s.down(nil, func() { s.to.Line(nil) })
 		}
 		s.armBlank()
 	}))
@@ -351,7 +359,7 @@
 	s.leave()
 	w := s.d.w
 	w.Journal.Note(w.Clock.Now(), WatchEnded, uint64(s.seat.Index), 0, 0)
-	s.down(func() {
+	s.down(nil, func() {
 		s.over = true
 		s.to.Closed()
 	})
@@ -400,6 +408,9 @@
 	i := d.index[n.Index]
 	d.rev++
 	d.entries[i].at = d.rev
+	if d.lies[n] == 0 {
+		d.w.Seen.Knew(n, d.entries[i].State) // it may have learned of a change meanwhile
+	}
 	d.tellAll()
 }
 
--- a/internal/lab/world/journal.go
+++ b/internal/lab/world/journal.go
@@ -27,7 +27,9 @@
 	WorkBegan
 	WorkEnded // node, ask, end
 	LinkEnded
+	Learned     // by discovery: node, state
 	ListWritten // balancer, revision, entries
+	ToldOf      // balancer, node, state: of changes
 	WatchOpened
 	WatchEnded
 	BalancerStarted
@@ -41,7 +43,7 @@
 )
 
 var whatNames = [whats]string{"began", "ask sent", "ask taken", "ask unreached", "ask left", "answered", "settled",
-	"dialed", "dial ended", "wrote", "came to node", "work began", "work ended", "link ended", "list written",
+	"dialed", "dial ended", "wrote", "came to node", "work began", "work ended", "link ended", "learned", "list written", "told of",
 	"watch opened", "watch ended", "balancer started", "balancer ready", "balancer ended", "fault began", "fault ended",
 	"node changed", "broke"}
 
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -31,7 +31,7 @@
 	base  []time.Duration // between places
 	extra []time.Duration
 	cuts  []int
-	held  [][]*parcel
+	held  [][]func(more time.Duration) // what was sent into a cut, in order
 	// Loss of a machine is not a cut: what was sent to it is gone.
 	jitter float64
 	rate   float64 // bytes a nanosecond
@@ -54,7 +54,7 @@
 	n.base = make([]time.Duration, size*size)
 	n.extra = make([]time.Duration, size*size)
 	n.cuts = make([]int, size*size)
-	n.held = make([][]*parcel, size*size)
+	n.held = make([][]func(time.Duration), size*size)
 	n.grain = draw(rng, sc.Network.Grain)
 	same, cross, client := draw(rng, sc.Network.Same), draw(rng, sc.Network.Cross), draw(rng, sc.Network.Client)
 	for a := range size {
@@ -146,11 +146,20 @@
 	}
 	held := n.held[path]
 	n.held[path] = nil
-	for _, p := range held {
-		n.ship(p, n.base[path]+time.Duration(resend*float64(lasted)*n.rng.Float64()))
+	for _, fn := range held {
+		fn(time.Duration(resend * float64(lasted) * n.rng.Float64()))
 	}
 }
 
+// send carries a message that is no connection's to an app node: at once, or after the cut that it was sent into.
+func (n *Net) send(a, b Place, fn func(takes time.Duration)) {
+	if path := n.path(a, b); n.cuts[path] > 0 {
+		n.held[path] = append(n.held[path], func(more time.Duration) { fn(n.delay(a, b) + more) })
+		return
+	}
+	fn(n.delay(a, b))
+}
+
 // ---- connections to app nodes ----
 
 // Peer is a balancer's end of its connections to app nodes.
@@ -253,7 +262,7 @@
 	}
 	path := n.path(a, b)
 	if n.cuts[path] > 0 {
-		n.held[path] = append(n.held[path], p)
+		n.held[path] = append(n.held[path], func(later time.Duration) { n.ship(p, n.delay(a, b)+more+later) })
 		return
 	}
 	n.ship(p, n.delay(a, b)+more)
