--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -218,17 +218,14 @@
 	})
 }
 
-// down carries a message to the balancer, in order. gone is done as it leaves: after a cut that it was written into.
-func (s *Stream) down(gone, fn func()) {
+// down carries a message to the balancer, in order.
+func (s *Stream) down(fn func()) {
 	a, b := s.places()
 	w := s.d.w
 	w.Net.send(b, a, func(takes time.Duration) {
 		if s.over || !s.seat.Up || s.seat.Life != s.life {
 			return
 		}
-		if gone != nil {
-			gone()
-		}
 		s.delivered = max(w.Clock.Now()+takes, s.delivered+1)
 		w.Clock.After(s.delivered-w.Clock.Now(), timeline.Func(func() {
 			if !s.over && s.seat.Up && s.seat.Life == s.life {
@@ -264,7 +261,7 @@
 			s.open = true
 			s.last = now
 			d.watches = append(d.watches, s)
-			s.down(nil, s.to.Opened)
+			s.down(s.to.Opened)
 			s.write()
 			s.armBlank()
 		}
@@ -281,7 +278,11 @@
 	l := d.from(s.since)
 	s.since, s.last = d.rev, w.Clock.Now()
 	w.Journal.Note(w.Clock.Now(), ListWritten, uint64(s.seat.Index), uint64(l.Revision), uint64(len(l.Entries)))
-	s.down(func() { w.told(s.seat.Index, &l) }, func() { s.to.Line(&l) })
+	// It is told once it is there: what a cut held back may come after the balancer has given the watch up.
+	s.down(func() {
+		w.told(s.seat.Index, &l)
+		s.to.Line(&l)
+	})
 }
 
 // told: a balancer counts as told of what is on a list, and of what is not on a whole one.
@@ -325,7 +326,7 @@
 		}
 		if w.Clock.Now()-s.last >= every {
 			s.last = w.Clock.Now()
-			s.down(nil, func() { s.to.Line(nil) })
+			s.down(func() { s.to.Line(nil) })
 		}
 		s.armBlank()
 	}))
@@ -359,7 +360,7 @@
 	s.leave()
 	w := s.d.w
 	w.Journal.Note(w.Clock.Now(), WatchEnded, uint64(s.seat.Index), 0, 0)
-	s.down(nil, func() {
+	s.down(func() {
 		s.over = true
 		s.to.Closed()
 	})
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -51,7 +51,7 @@
 	Settled(op *Op, how Kind, at time.Duration)
 	// Wrote: a balancer has written the first byte of an attempt.
 	Wrote(balancer int, n *Node, op *Op)
-	// Knew: discovery has learned of a state. Told: it has written it to a balancer.
+	// Knew: discovery has learned of a state. Told: a line with it has reached a balancer.
 	Knew(n *Node, s State)
 	Told(balancer int, n *Node, s State)
 	// Reached says whether a balancer that runs can be told anything by discovery from now on.
