--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -43,6 +43,8 @@
 	room   *flow.Room // for one flow
 	node   net.Conn
 	read   *bufio.Reader
+
+	stall, flowStall time.Duration
 }
 
 func newLink(t *testing.T) *link {
@@ -51,7 +53,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	k := &link{t: t, events: make(chan reducer.Event, 10)}
+	k := &link{t: t, stall: time.Hour, flowStall: time.Hour, events: make(chan reducer.Event, 10)}
 	k.room = flow.NewRoom(1)
 	k.set = New(func(e reducer.Event) { k.events <- e }, []string{"utilization", "backlog"},
 		Bounds{Largest: 1 << 20, Room: k.room, Wait: 20 * time.Second})
@@ -75,7 +77,7 @@
 func (k *link) sendAs(call *message.Call) {
 	call.Request = &http.Request{Method: "POST", Host: "origin.svc", RequestURI: "/booking//a%2Fb?q=1;2&x=%zz",
 		Header: http.Header{"X-Request-Id": {"9b1f"}, "Idempotency-Key": {"5c"}, "Expect": {"100-continue"}}}
-	k.set.Exchange(reducer.Exchange{Conn: 1, Wait: 300 * time.Millisecond, Stall: 20 * time.Second, FlowStall: 20 * time.Second,
+	k.set.Exchange(reducer.Exchange{Conn: 1, Wait: 300 * time.Millisecond, Stall: k.stall, FlowStall: k.flowStall,
 		Call: &reducer.Call{Message: call}})
 }
 
@@ -153,12 +155,15 @@
 		{"HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nskip", 0, false, false, nil},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nskipHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nskip", 200, false, false, nil},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal", 0, false, false, nil},
+		{"HTTP/1.1 200 OK\r\nX-Length: 10\r\nContent-length: 10\r\n\r\nskip", 0, false, false, nil},
 		{"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 90000) + "\r\n\r\n", 0, false, false, nil},
 		{"FTP says hello\r\n\r\n", 0, false, false, nil},
 		{strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9), 0, false, false, nil},
 		{"", 0, false, false, nil},
 	} {
-		e := newLink(t).exchange(c.says)
+		k := newLink(t)
+		e := k.exchange(c.says)
+		k.lentNothing()
 		status, want := 0, reducer.Broke
 		if e.Err == nil {
 			switch c.status {
