--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -176,6 +176,9 @@
 		if reflect.PointerTo(t).Implements(leaf) {
 			break
 		}
+		if l, ok := v.Value.(hujson.Literal); ok && string(l) == "null" {
+			return nil // an empty list, as encoding/json writes it
+		}
 		a, ok := v.Value.(*hujson.Array)
 		if !ok {
 			return &Flaw{Key: key, Text: "a list in brackets is wanted"}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -289,6 +289,7 @@
 type Fault struct {
 	Kind      string  `json:"kind"`
 	Draw      string  `json:"draw"` // names the stream of its draws; else its place in the list does
+	Nth       int     `json:"nth"`  // the number of the first of them in that stream; see Times
 	At        Span    `json:"at"`
 	For       Span    `json:"for"`
 	Every     Span    `json:"every"`  // between pauses, on and off times, steps of a deploy, flaps
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"hash/fnv"
 	"runtime"
 	"strings"
@@ -272,3 +273,39 @@
 		t.Errorf("%d balancers heard reports, %d came in answers", with, inline)
 	}
 }
+
+// A run whose faults were drawn can be played again from a script of what was drawn, and then without some of them.
+func TestDrawnFaultsMakeAScript(t *testing.T) {
+	sc := load(t, "swarm", "length=12s")
+	drawn := play(t, sc, Options{Seed: 31})
+	if len(drawn.Episodes) < 5 {
+		t.Fatalf("only %d faults were drawn", len(drawn.Episodes))
+	}
+	script := *sc
+	script.Faults = nil
+	for _, e := range drawn.Episodes {
+		script.Faults = append(script.Faults, e.Fault())
+	}
+	raw, err := json.Marshal(script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	written, err := scenario.Parse("script", raw) // as a file
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := play(t, written, Options{Seed: 31})
+	if again.Digest != drawn.Digest {
+		t.Error("the script's run is another")
+	}
+	written.Faults = written.Faults[1:]
+	fewer := play(t, written, Options{Seed: 31})
+	if fewer.Digest == drawn.Digest || len(fewer.Episodes) != len(drawn.Episodes)-1 {
+		t.Fatalf("%d faults are left", len(fewer.Episodes))
+	}
+	for i, e := range fewer.Episodes {
+		if was := drawn.Episodes[i+1]; e.Kind != was.Kind || e.From != was.From || e.To != was.To || e.Size != was.Size {
+			t.Errorf("%s at %v has become %s at %v", was.Kind, was.From, e.Kind, e.From)
+		}
+	}
+}
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -22,6 +22,8 @@
 
 	w     *World
 	f     *scenario.Fault
+	name  string // of its draws
+	nth   int
 	rng   *rand.Rand
 	class int
 	every time.Duration
@@ -48,8 +50,9 @@
 			continue
 		}
 		for k := range int(math.Round(drawRange(rng, f.Times))) {
+			k += f.Nth
 			rng := src.Stream(strconv.Itoa(k))
-			e := &Episode{Kind: f.Kind, w: w, f: f, rng: rng, class: -1}
+			e := &Episode{Kind: f.Kind, w: w, f: f, rng: rng, class: -1, name: name, nth: k}
 			e.From = Lead + draw(rng, f.At)
 			e.To = e.From
 			if scenario.KindOf(f.Kind).Lasts {
@@ -59,12 +62,27 @@
 			e.Size = drawRange(rng, f.Size)
 			e.share = drawRange(rng, f.Part)
 			e.count = int(math.Round(drawRange(rng, f.Count)))
+			if e.count == 0 && e.share == 0 && f.Part[1]+f.Count[1] > 0 {
+				continue // nobody is hit
+			}
 			e.class = slices.IndexFunc(w.Sc.Classes, func(c scenario.Class) bool { return c.Name == f.Class })
 			w.Clock.After(e.From-w.Clock.Now(), timeline.Func(e.begin))
 		}
 	}
 }
 
+// Fault is the episode as a fault of its own, with nothing left to draw but what it drew. In its place among others it
+// has the very same course, so that a run can be played again without some of them.
+func (e *Episode) Fault() scenario.Fault {
+	f := *e.f
+	one := func(d time.Duration) scenario.Span { return scenario.Span{scenario.Duration(d), scenario.Duration(d)} }
+	same := func(v float64) scenario.Range { return scenario.Range{v, v} }
+	f.Draw, f.Nth, f.Times, f.Chance = e.name, e.nth, same(1), 1
+	f.At, f.For, f.Every = one(e.From-Lead), one(e.To-e.From), one(e.every)
+	f.Size, f.Part, f.Count = same(e.Size), same(e.share), same(float64(e.count))
+	return f
+}
+
 func (e *Episode) begin() {
 	w := e.w
 	e.on = true
@@ -120,10 +138,7 @@
 		return e.count
 	case e.share > 0:
 		return max(1, int(math.Round(e.share*float64(of))))
-	case named || e.Kind == "deploy" || e.f.Zone != "" || e.f.Part[1] > 0 || e.f.Count[1] > 0:
-		if e.f.Part[1] > 0 || e.f.Count[1] > 0 {
-			return 0
-		}
+	case named || e.Kind == "deploy" || e.f.Zone != "":
 		return of
 	}
 	return 1
@@ -429,7 +444,12 @@
 	n.Doomed = true
 	epoch := n.Epoch
 	w.changed(n, 3)
-	// It is announced first: what it turns away by itself comes only when its balancers have had time to hear.
+	// Half-way it begins to turn away what is new, as a balancer that has not heard by then will see.
+	w.Clock.After(within/2, timeline.Func(func() {
+		if n.Up && n.Epoch == epoch {
+			n.Draining = true
+		}
+	}))
 	w.Discovery.learn(n, Draining, draw(w.Discovery.rng, w.Sc.Discovery.Notice))
 	w.Clock.After(within, timeline.Func(func() {
 		if n.Up && n.Epoch == epoch {
