--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -3,6 +3,12 @@
 // level of the reducer's events and effects. A run is one goroutine and shares nothing with other runs: the same
 // scenario, seed and policy give the same log of events to the byte. It must never open a socket, read the machine's
 // clock for anything but the time that a run took, or decide what the reducer decides.
+//
+// What it takes over of the shells, and where: connect timeouts, what has been written when a connection breaks, idle
+// connections that close under a call, answers that stop in their middle, answers and bodies that flow, the patience
+// and the silence of a watch, the notice to end. What it leaves to sockets: bytes and their parsing, the client's
+// connections as a resource (budgets, patience with heads and bodies, slow readers), memory and descriptors, copied
+// ids, the time that the program itself takes, and all that a kernel does between two programs on one machine.
 package virtual
 
 import (
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -463,3 +463,19 @@
 		}
 	}
 }
+
+func TestRecordedTimesAndTraces(t *testing.T) {
+	s := newScene(t, "traffic.process=recorded", "traffic.times=[0.5, 0.5, 2.25, 60]", "classes[0].work.dist=trace", "classes[0].work.trace=[7, 21]")
+	var work []float64
+	s.answer = func(a *Ask) { work = append(work, a.Op.Work); s.Answer(a, Outcome{Kind: Served}) }
+	s.Open([]Balancer{s})
+	s.clock.Run(s.End + time.Second)
+	if want := []time.Duration{Lead + 500*ms, Lead + 500*ms, Lead + 2250*ms}; !slices.Equal(s.wished, want) { // the last is past the day
+		t.Errorf("requests at %v, want %v", s.wished, want)
+	}
+	for _, w := range work {
+		if w != 7 && w != 21 && w != 10 {
+			t.Errorf("work of %v", w)
+		}
+	}
+}
