--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -97,10 +97,11 @@
 // cores evenly, so with as many slots as cores it serves first come first served, and with more it shares.
 type Node struct {
 	NodeSpec
-	Address int  // by which it is reached; a replacement takes it over
-	Index   int  // among all nodes that there ever were
-	Group   int  // of the scenario
-	Doomed  bool // leaves, or has left, for good
+	Before  *Node // at its address, if it has taken that over
+	Address int   // by which it is reached; a replacement takes it over
+	Index   int   // among all nodes that there ever were
+	Group   int   // of the scenario
+	Doomed  bool  // leaves, or has left, for good
 
 	clock timeline.Clock
 	rng   *rand.Rand
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -190,6 +190,7 @@
 		w.Addresses = append(w.Addresses, n)
 		w.byAddress[AddressName(address)] = address
 	} else {
+		n.Before = w.Addresses[address]
 		w.Addresses[address] = n
 	}
 	n.Address = address
