--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -348,7 +348,8 @@
 		late = min(late, o.late(balancer, p))
 	}
 	if late > 0 {
-		o.Break(Drains, "balancer %d sends wish %d to app node %d, %v after the grace for a drain", balancer, op.Serial, n.Index, late)
+		o.Break(Drains, "balancer %d sends wish %d to app node %d, %v after the grace for a drain", balancer, op.Serial,
+			n.Index, late)
 	}
 }
 
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -8,7 +8,8 @@
 
 // Check finds what no world can be made of. Ranges are judged by both ends.
 func (s *Scenario) Check() *Flaw {
-	for _, check := range []func() *Flaw{s.checkSite, s.checkNodes, s.checkClasses, s.checkTraffic, s.checkRest, s.checkFaults} {
+	for _, check := range []func() *Flaw{s.checkSite, s.checkNodes, s.checkClasses, s.checkTraffic, s.checkRest,
+		s.checkFaults} {
 		if flaw := check(); flaw != nil {
 			return flaw
 		}
@@ -103,7 +104,8 @@
 		if flaw := oneOf(key("scope"), c.Scope, "all", "zone", "cell"); flaw != nil {
 			return flaw
 		}
-		if flaw := oneOf(key("work.dist"), c.Work.Dist, "constant", "exponential", "lognormal", "hyperexponential", "trace"); flaw != nil {
+		if flaw := oneOf(key("work.dist"), c.Work.Dist, "constant", "exponential", "lognormal", "hyperexponential",
+			"trace"); flaw != nil {
 			return flaw
 		}
 		switch {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -345,7 +345,7 @@
 	{"balancer_crash", "balancers are killed and start again after a while", "", 0, 0, "balancers", true, false},
 	{"balancer_restart", "balancers are ended with a notice and start again", "", 0, 0, "balancers", true, false},
 	{"reload", "balancers read their configuration again, with another address of discovery", "", 0, 0, "balancers", false, false},
-	{"surge", "more requests come", "times as many", 0, 1e6, "clients", true, false},
+	{"surge", "more requests come", "times as many", 0.01, 1e6, "clients", true, false},
 }
 
 // KindOf finds a kind by name.
--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -57,7 +57,6 @@
 	timers  int // armed and not due
 	moved   int // of discovery's address
 	report  []float64
-	members int // of the latest list
 }
 
 // conn is a connection to an app node as the delegation has it.
@@ -124,7 +123,6 @@
 	if b.watch != nil {
 		b.watch.close()
 	}
-	b.run.retired(b)
 	b.red, b.decider, b.calls, b.conns, b.watch = nil, nil, nil, nil, nil
 }
 
@@ -194,8 +192,8 @@
 func (b *balancer) answer(e reducer.Answer) {
 	a := b.calls[e.Call]
 	if a == nil {
-		b.run.oracle.Break(oracle.Answers, "balancer %d answers request %d, which has its answer or whose client has left", b.index,
-			e.Call)
+		b.run.oracle.Break(oracle.Answers, "balancer %d answers request %d, which has its answer or whose client has left",
+			b.index, e.Call)
 		return
 	}
 	o := world.Outcome{After: e.Reply.After, Closes: b.draining}
@@ -429,7 +427,8 @@
 	}
 	k.busy = false
 	k.flowEnded(false)
-	k.b.handle(reducer.Exchanged{Conn: k.id, Written: reducer.Whole, Result: reducer.Stalled, Spent: k.shot, Err: errStalled})
+	k.b.handle(reducer.Exchanged{Conn: k.id, Written: reducer.Whole, Result: reducer.Stalled, Spent: k.shot,
+		Err: errStalled})
 }
 
 func (p *peer) LinkAnswered(l *world.Link, a *world.Answer) {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -252,9 +252,6 @@
 // after held and overdue requests and idle connections.
 const timersLeft = 4
 
-// retired: a process has ended, with all it had.
-func (r *run) retired(*balancer) {}
-
 func (r *run) say(balancer int, text string) {
 	fmt.Fprintf(r.opt.Log, "%12.6f balancer %d: %s\n", r.clock.Now().Seconds(), balancer, text)
 }
@@ -293,8 +290,8 @@
 			r.busy = append(r.busy, 0)
 		}
 		busy := n.BusySeconds()
-		s.Nodes = append(s.Nodes, NodeSample{Up: n.Up, Cold: n.Warmth() < 1, Held: n.Held(), Waiting: n.Waiting(), Conns: n.Conns(),
-			Busy: (busy - r.busy[i]) / r.opt.Sample.Seconds(), Capacity: n.Capacity()})
+		s.Nodes = append(s.Nodes, NodeSample{Up: n.Up, Cold: n.Warmth() < 1, Held: n.Held(), Waiting: n.Waiting(),
+			Conns: n.Conns(), Busy: (busy - r.busy[i]) / r.opt.Sample.Seconds(), Capacity: n.Capacity()})
 		r.busy[i] = busy
 	}
 	for _, b := range r.balancers {
@@ -333,8 +330,8 @@
 		IdleClose: sc.Limits.IdleClose.D(), StreamsPerConn: 1,
 		Prices: brain.Prices{Connection: sc.Prices.Connection, CrossZone: sc.Prices.CrossZone, Handshake: sc.Prices.Handshake,
 			Waste: sc.Prices.Waste, LateFail: sc.Prices.LateFail},
-		Rules: brain.Rules{AnswerGrace: sc.Rules.Grace.D(), DrainGrace: sc.Rules.DrainGrace.D(), AskEvery: sc.Rules.AskEvery.D(),
-			ColdFrom: sc.Rules.ColdFrom, ColdFor: sc.Rules.ColdFor.D(), OverloadFactor: sc.Rules.OverloadFactor,
+		Rules: brain.Rules{AnswerGrace: sc.Rules.Grace.D(), DrainGrace: sc.Rules.DrainGrace.D(),
+			AskEvery: sc.Rules.AskEvery.D(), ColdFrom: sc.Rules.ColdFrom, ColdFor: sc.Rules.ColdFor.D(), OverloadFactor: sc.Rules.OverloadFactor,
 			FallFor: sc.Rules.FallFor.D()}}
 	if len(sc.Reports.Columns) > 0 {
 		s.Reports = brain.ReportsInline
@@ -349,7 +346,8 @@
 		"live": brain.WeightLive}[sc.Discovery.Weights]
 	for i := range sc.Classes {
 		c := &sc.Classes[i]
-		k := brain.Class{Name: c.Name, Window: c.Window.D(), Aim: c.Aim.D(), Deadline: c.Deadline.D(), Worth: c.Worth, Late: c.Late}
+		k := brain.Class{Name: c.Name, Window: c.Window.D(), Aim: c.Aim.D(), Deadline: c.Deadline.D(), Worth: c.Worth,
+			Late: c.Late}
 		k.Repeat = map[string]brain.Repeat{"safe": brain.Safe, "keyed": brain.Keyed, "unsafe": brain.Unsafe}[c.Repeat]
 		k.Scope = map[string]brain.Scope{"all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell}[c.Scope]
 		s.Classes = append(s.Classes, k)
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -25,7 +25,6 @@
 	rate    *chance.Rate
 	count   float64 // expected arrivals up to the last one
 	surge   float64
-	last    time.Duration
 	classes []float64 // cumulated shares
 	tenants []float64
 	zones   []float64
@@ -33,11 +32,9 @@
 	pools   []pool
 	asked   uint64
 	wished  uint64
-	open_   int // wishes not settled
+	waits   int // wishes not settled
 	flying  int // requests not over
 	next    timeline.Timer
-	nextAt  time.Duration
-	plan    *plan
 }
 
 // quota is what a tenant may still ask for in its right: a bucket of a second's worth.
@@ -58,13 +55,10 @@
 	used                 time.Duration
 }
 
-// plan holds the shape of the day; surges are laid over it as they come.
-type plan struct{ at, rate []float64 }
-
 func newClients(w *World) *Clients {
 	sc := w.Sc
-	c := &Clients{w: w, rng: w.Chance.Stream("clients"), ways: w.Chance.Stream("clients/ways"), surge: 1, pools: make([]pool, len(sc.Zones)),
-		quota: make([]quota, len(sc.Tenants))}
+	c := &Clients{w: w, rng: w.Chance.Stream("clients"), ways: w.Chance.Stream("clients/ways"), surge: 1,
+		pools: make([]pool, len(sc.Zones)), quota: make([]quota, len(sc.Tenants))}
 	mean := drawRange(c.rng, sc.Traffic.Rate)
 	work := 0.0 // mean work of a request, ms
 	sum := 0.0
@@ -90,15 +84,14 @@
 		c.zones = append(c.zones, share)
 	}
 	accumulate(c.zones)
-	c.plan = &plan{at: []float64{0}, rate: []float64{mean}}
+	at, rate := []float64{0}, []float64{mean}
 	if len(sc.Traffic.Shape) > 0 {
-		c.plan.at, c.plan.rate = nil, nil
+		at, rate = nil, nil
 		for _, p := range sc.Traffic.Shape {
-			c.plan.at = append(c.plan.at, p.At.D().Seconds())
-			c.plan.rate = append(c.plan.rate, mean*p.Times)
+			at, rate = append(at, p.At.D().Seconds()), append(rate, mean*p.Times)
 		}
 	}
-	c.rate = chance.NewRate(c.plan.at, c.plan.rate)
+	c.rate = chance.NewRate(at, rate)
 	switch t := &sc.Traffic; t.Process {
 	case "steady":
 		c.process = chance.Steady{}
@@ -134,13 +127,12 @@
 func (c *Clients) Rate(at time.Duration) float64 { return c.rate.At((at - Lead).Seconds()) * c.surge }
 
 // Waiting is the number of wishes that are not settled, and of requests that are not over.
-func (c *Clients) Waiting() (wishes, asks int) { return c.open_, c.flying }
+func (c *Clients) Waiting() (wishes, asks int) { return c.waits, c.flying }
 
 // Wished is the number of wishes so far.
 func (c *Clients) Wished() uint64 { return c.wished }
 
 func (c *Clients) open() {
-	c.last = Lead
 	c.count = 0
 	c.arm()
 }
@@ -156,7 +148,6 @@
 	if at >= c.w.End {
 		return
 	}
-	c.nextAt = at
 	c.next = c.w.Clock.After(at-c.w.Clock.Now(), (*arrival)(c))
 }
 
@@ -227,7 +218,7 @@
 	if op.Tenant >= 0 && c.over(op.Tenant, now) {
 		op.Worth *= w.Sc.Rules.OverQuotaWorth
 	}
-	c.open_++
+	c.waits++
 	w.Journal.Note(now, Began, op.Serial, uint64(op.Class), uint64(op.Zone))
 	w.Seen.Wished(op)
 	c.try(op)
@@ -545,7 +536,8 @@
 	c.flying--
 	now := w.Clock.Now()
 	if o.Kind != Served && c.mayRetry(op, o.Kind) {
-		wait := time.Duration(float64(draw(c.ways, w.Sc.Clients.Backoff)) * math.Pow(w.Sc.Clients.Growth, float64(op.Tries-1)))
+		grown := math.Pow(w.Sc.Clients.Growth, float64(op.Tries-1))
+		wait := time.Duration(float64(draw(c.ways, w.Sc.Clients.Backoff)) * grown)
 		if o.After > 0 && c.ways.Float64() < w.Sc.Clients.Honour {
 			wait = max(wait, min(o.After, w.Sc.Limits.MaxRetryAfter.D()))
 		}
@@ -555,7 +547,7 @@
 		}
 	}
 	op.Settled = true
-	c.open_--
+	c.waits--
 	w.Journal.Note(now, Settled, op.Serial, uint64(o.Kind), 0)
 	w.Seen.Settled(op, o.Kind, now)
 }
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -33,7 +33,7 @@
 	on    bool
 }
 
-// leaveWithin is how long an app node that drains waits for its work at the most.
+// drainFor is how long an app node that drains stays, where nothing else is said.
 const drainFor = 5 * time.Second
 
 // armFaults draws the faults and sets their times.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -82,7 +82,6 @@
 	zoneIndex map[string]int
 	byAddress map[string]int
 	lastLink  uint64
-	nodesMade int
 	nodeRng   *rand.Rand
 	workRng   *rand.Rand
 	sizeRng   *rand.Rand
@@ -98,17 +97,16 @@
 
 // Seat is the place of a balancer: its name and address stay, whatever process runs there.
 type Seat struct {
-	Index    int
-	Zone     int
-	B        Balancer
-	Up       bool
-	Term     bool // it was given notice
-	Life     int  // counts starts
-	Known    List // what it would be started with
-	asks     []*Ask
-	termAt   time.Duration
-	reached  bool
-	restarts timeline.Timer
+	Index   int
+	Zone    int
+	B       Balancer
+	Up      bool
+	Term    bool // it was given notice
+	Life    int  // counts starts
+	Known   List // what it would be started with
+	asks    []*Ask
+	termAt  time.Duration
+	reached bool
 }
 
 // New makes a world from a scenario and a seed. Attach must follow, then Open.
