--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -162,6 +162,30 @@
 	return acts
 }
 
+// newest sends each request once, to the app node that has started last.
+type newest struct{ at brain.Member }
+
+func (n *newest) Handle(_ time.Duration, ev brain.Event, acts []brain.Action) []brain.Action {
+	switch e := ev.(type) {
+	case *brain.FleetUpdate:
+		for _, m := range e.Members {
+			if m.State == brain.Ready && (n.at.Server == "" || m.Started > n.at.Started) {
+				n.at = m
+			}
+		}
+		if e.Kind == brain.UpdateRestored || e.Kind == brain.UpdateAskFailed {
+			acts = append(acts, brain.Action{Kind: brain.Subscribe})
+		}
+	case *brain.Request:
+		acts = append(acts, brain.Action{Kind: brain.Send, ID: e.ID, Server: n.at.Server})
+	case *brain.AttemptEnded:
+		if e.Outcome != brain.OK && !e.Final {
+			acts = append(acts, brain.Action{Kind: brain.Fail, ID: e.ID})
+		}
+	}
+	return acts
+}
+
 // What the module does wrong shows in the verdict, through the reducer and the world.
 func TestWhatTheModuleDoesWrongShows(t *testing.T) {
 	for _, c := range []struct {
@@ -172,8 +196,12 @@
 		{"rolling-deploy", "ignores drains", []string{"length=30s"}, oracle.Drains},
 		{"one-class-fails", "refuses what may have run", []string{"length=20s"}, oracle.Effects},
 		{"calm", "panics", []string{"length=5s"}, oracle.Sound},
+		{"flash-crowd", "sends all to the newest", []string{"length=25s"}, oracle.Cold},
 	} {
 		rec := play(t, load(t, c.scenario, c.set...), Options{Seed: 2, Policy: func(cfg brain.Settings, seed uint64) (brain.Decider, error) {
+			if c.flaw == "sends all to the newest" {
+				return &newest{}, nil
+			}
 			inner, err := brain.New(cfg, seed)
 			return &saboteur{inner, c.flaw}, err
 		}})
