--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -34,8 +34,8 @@
 		Reports: brain.ReportsInline, Columns: []brain.Column{brain.ColUtilization, brain.ColQueue},
 		Classes: []brain.Class{
 			{Name: "read", Aim: 300 * ms, Deadline: time.Second, Worth: 1},
-			{Name: "put", Repeat: brain.Keyed, Scope: brain.ScopeZone, Window: 300 * ms, Aim: 300 * ms, Deadline: time.Second, Worth: 1},
-			{Name: "pay", Repeat: brain.Unsafe, Aim: 300 * ms, Deadline: time.Second, Worth: 1},
+			{Name: "put", Repeat: brain.Keyed, Scope: brain.ScopeZone, Window: 150 * ms, Aim: 300 * ms, Deadline: time.Second, Worth: 1},
+			{Name: "pay", Repeat: brain.Unsafe, Window: 150 * ms, Aim: 300 * ms, Deadline: time.Second, Worth: 1},
 		},
 		Rules: brain.Rules{AnswerGrace: 20 * ms, DrainGrace: 0, AskEvery: 10 * time.Second}}
 }
@@ -231,16 +231,30 @@
 			e.asked = append(e.asked, r)
 			e.tell(&brain.Request{ID: fmt.Sprintf("q%d", len(e.asked)-1), Tenant: -1, Deadline: r.deadline,
 				Class: slices.IndexFunc(e.cfg.Classes, func(c brain.Class) bool { return c.Name == r.class.Name })})
+			for _, m := range e.list { // ours may hold a request, the plain ones send it at once
+				if m.State == brain.Ready && len(r.tries) == 0 && name != Ours {
+					e.Fatalf("not sent, though %s is ready", m.Server)
+				}
+			}
 		},
 		"end": func(t *rapid.T) {
 			if r := e.draw(t, "of"); r != nil && len(r.tries) > 0 && !r.tries[len(r.tries)-1].over {
 				e.end(r, len(r.tries)-1, brain.Outcome(rapid.IntRange(int(brain.OK), int(brain.NeverSent)).Draw(t, "outcome")))
 			}
 		},
+		"rejected": func(t *rapid.T) { // the app node's 4xx went to the client: final, and no fault of the server
+			if r := e.draw(t, "of"); r != nil && len(r.tries) > 0 && !r.tries[len(r.tries)-1].over {
+				r.final = true
+				e.end(r, len(r.tries)-1, brain.Cancelled)
+			}
+		},
 		"client gone": func(t *rapid.T) {
 			if r := e.draw(t, "of"); r != nil {
 				r.gone = true
 				e.tell(&brain.ClientGone{ID: fmt.Sprintf("q%d", slices.Index(e.asked, r))})
+				if e.cfg.CanCancel && slices.ContainsFunc(r.tries, func(y *try) bool { return !y.over }) {
+					e.Fatal("left out for a client that has gone")
+				}
 			}
 		},
 		"list":       func(t *rapid.T) { update(t, brain.UpdateKind(rapid.IntRange(0, 1).Draw(t, "whole"))) },
