--- a/internal/lab/policy/pick.go
+++ b/internal/lab/policy/pick.go
@@ -95,8 +95,8 @@
 	return from[left]
 }
 
-// ranked gives the value at a rank, 0 being the lowest, and leaves x in another order: quickselect (Hoare, Algorithm 65,
-// CACM 1961), linear where a sort of the whole fleet at each request would not be.
+// ranked gives the value at a rank, 0 being the lowest, and leaves x in another order: quickselect (Hoare, Algorithm
+// 65, CACM 1961), linear where a sort of the whole fleet at each request would not be.
 func ranked(rng *rand.Rand, x []float64, rank int) float64 {
 	for len(x) > 1 {
 		pivot := x[rng.IntN(len(x))]
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -34,7 +34,8 @@
 		Reports: brain.ReportsInline, Columns: []brain.Column{brain.ColUtilization, brain.ColQueue},
 		Classes: []brain.Class{
 			{Name: "read", Aim: 300 * ms, Deadline: time.Second, Worth: 1},
-			{Name: "put", Repeat: brain.Keyed, Scope: brain.ScopeZone, Window: 150 * ms, Aim: 300 * ms, Deadline: time.Second, Worth: 1},
+			{Name: "put", Repeat: brain.Keyed, Scope: brain.ScopeZone, Window: 150 * ms,
+				Aim: 300 * ms, Deadline: time.Second, Worth: 1},
 			{Name: "pay", Repeat: brain.Unsafe, Window: 150 * ms, Aim: 300 * ms, Deadline: time.Second, Worth: 1},
 		},
 		Rules: brain.Rules{AnswerGrace: 20 * ms, DrainGrace: 0, AskEvery: 10 * time.Second}}
@@ -210,7 +211,8 @@
 		}
 		for i := range 5 {
 			state := rapid.IntRange(0, 5).Draw(t, "state")
-			m := brain.Member{Server: fmt.Sprintf("s%d", i), Zone: "ab"[i%2 : i%2+1], Weight: 1, State: brain.Readiness(max(0, state-2))}
+			m := brain.Member{Server: fmt.Sprintf("s%d", i), Zone: "ab"[i%2 : i%2+1], Weight: 1,
+				State: brain.Readiness(max(0, state-2))}
 			switch {
 			case state == 5: // not named
 				continue
@@ -353,14 +355,16 @@
 
 func TestSameSeedSameActions(t *testing.T) {
 	for _, name := range everyName {
-		if a, b := shares(t, name, make([]float64, 6), 200, true), shares(t, name, make([]float64, 6), 200, true); !reflect.DeepEqual(a, b) {
+		a, b := shares(t, name, make([]float64, 6), 200, true), shares(t, name, make([]float64, 6), 200, true)
+		if !reflect.DeepEqual(a, b) {
 			t.Errorf("%s: %v, then %v", name, a, b)
 		}
 	}
 }
 
 func TestNewNamesWhatIsWrong(t *testing.T) {
-	for name, want := range map[string]string{"best": `"best" is none of`, "static-k=0": "from 1 on", "static-k": "none of"} {
+	for name, want := range map[string]string{"best": `"best" is none of`, "static-k=0": "from 1 on",
+		"static-k": "none of"} {
 		if _, err := New(name, settings(), 1); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v, want %q", name, err, want)
 		}
--- a/internal/lab/theory/closed.go
+++ b/internal/lab/theory/closed.go
@@ -6,7 +6,8 @@
 // last being F. Pollaczek's (1930) and A. Khinchine's (1932) formula, the second A. K. Erlang's (1917). The power of
 // two choices: M. Mitzenmacher, The power of two choices in randomized load balancing, IEEE Transactions on Parallel
 // and Distributed Systems 12(10), 2001, and before him N. Vvedenskaya, R. Dobrushin and F. Karpelevich, Queueing system
-// with selection of the shortest of two queues: an asymptotic approach, Problems of Information Transmission 32(1), 1996.
+// with selection of the shortest of two queues: an asymptotic approach, Problems of Information Transmission 32(1),
+// 1996.
 package theory
 
 import "math"
--- a/internal/lab/theory/refined.go
+++ b/internal/lab/theory/refined.go
@@ -9,14 +9,15 @@
 // levels is how many of the shares of servers with i requests or more are kept: at load 0.9 the twelfth is 0.9^4095.
 const levels = 12
 
-// ChoicesOf is the mean response of two choices among so many servers: the fixed point with its first correction,
-// of the order 1/servers. The limit itself is some 2 % short at 100 servers and load 0.9, so that a node which
-// is right would fall short of it by as much. After N. Gast and B. Van Houdt, A refined mean field approximation, Proc.
-// ACM on Measurement and Analysis of Computing Systems 1(2), 2017: with the drift f, its Jacobian A and second derivative
-// B at the fixed point, and the noise Q of the jumps there, W solves A W + W A' + Q = 0, and the correction V solves
+// ChoicesOf is the mean response of two choices among so many servers: the fixed point with its first correction, of
+// the order 1/servers. In the wait the limit itself is some 2 % short at 100 servers and load 0.9, so that a node which is
+// right would miss it by as much. After N. Gast and B. Van Houdt, A refined mean field approximation, Proc. ACM on
+// Measurement and Analysis of Computing Systems 1(2), 2017: with the drift f, its Jacobian A and second derivative B at
+// the fixed point, and the noise Q of the jumps there, W solves A W + W A' + Q = 0, and the correction V solves
 // A V + (B W)/2 + C = 0. C is what two different servers, rather than any two draws, add to the drift.
 func ChoicesOf(servers int, load float64) (response float64) {
-	share := func(i int) float64 { return math.Pow(load, math.Exp2(float64(i))-1) } // of servers with i or more; share(0) = 1
+	// Of the servers with i requests or more; share(0) is 1.
+	share := func(i int) float64 { return math.Pow(load, math.Exp2(float64(i))-1) }
 	a := mat.NewDense(levels, levels, nil)
 	for i := 1; i <= levels; i++ { // f_i = load (x_{i-1}^2 - x_i^2) - (x_i - x_{i+1})
 		a.Set(i-1, i-1, -2*load*share(i)-1)
--- a/internal/lab/theory/run.go
+++ b/internal/lab/theory/run.go
@@ -112,7 +112,8 @@
 func (s *system) per(b Budget) int { return b.Requests / (replications * batches) * s.weight }
 
 func (s *system) row(b Budget, f form, figures []float64) Row {
-	r := Row{System: s.name, Load: s.load, Source: f.source, Mean: f.mean, Theory: f.time, Requests: s.per(b) * len(figures)}
+	r := Row{System: s.name, Load: s.load, Source: f.source, Mean: f.mean, Theory: f.time,
+		Requests: s.per(b) * len(figures)}
 	r.Measured, r.Half = result.Interval(figures, result.Confidence)
 	r.Off = (r.Measured - f.time) / f.time
 	r.Bound = goal
--- a/internal/lab/theory/system.go
+++ b/internal/lab/theory/system.go
@@ -59,7 +59,8 @@
 		// held against the theory for that number.
 		limit, exact := Choices(2, load), ChoicesOf(100, load)
 		all = append(all, system{"two choices, 100 nodes", load, 1, 100, 1, exponential, "power-of-two",
-			[]form{{"fixed point", response, limit}, {"refined for 100", waiting, exact - 1}, {"refined for 100", response, exact}}})
+			[]form{{"fixed point", response, limit}, {"refined for 100", waiting, exact - 1},
+				{"refined for 100", response, exact}}})
 	}
 	return all
 }
--- a/internal/lab/theory/theory_test.go
+++ b/internal/lab/theory/theory_test.go
@@ -27,6 +27,8 @@
 		{"two choices at 0.9", Choices(2, 0.9), 2.6141},
 		{"two choices at 0.99", Choices(2, 0.99), 5.4320},
 		{"three choices at 0.9", Choices(3, 0.9), 1 + math.Pow(0.9, 3) + math.Pow(0.9, 12) + math.Pow(0.9, 39)},
+		// Two different servers of 100 that are hardly ever busy: both are with a chance of load^2, and then one waits.
+		{"among 100 at 0.01", (ChoicesOf(100, 0.01) - 1) * 100, 0.01},
 		{"among very many servers", ChoicesOf(1e9, 0.9), 2.6141},
 	} {
 		if math.Abs(c.got-c.want) > 1e-4 {
