--- a/internal/lab/theory/refined.go
+++ b/internal/lab/theory/refined.go
@@ -10,8 +10,8 @@
 const levels = 12
 
 // ChoicesOf is the mean response of two choices among so many servers: the fixed point with its first correction, of
-// the order 1/servers. In the wait the limit itself is some 2 % short at 100 servers and load 0.9, so that a node which is
-// right would miss it by as much. After N. Gast and B. Van Houdt, A refined mean field approximation, Proc. ACM on
+// the order 1/servers. In the wait the limit itself is some 2 % short at 100 servers and load 0.9, so that a node which
+// is right would miss it by as much. After N. Gast and B. Van Houdt, A refined mean field approximation, Proc. ACM on
 // Measurement and Analysis of Computing Systems 1(2), 2017: with the drift f, its Jacobian A and second derivative B at
 // the fixed point, and the noise Q of the jumps there, W solves A W + W A' + Q = 0, and the correction V solves
 // A V + (B W)/2 + C = 0. C is what two different servers, rather than any two draws, add to the drift.
