--- a/internal/lab/policy/node.go
+++ b/internal/lab/policy/node.go
@@ -72,10 +72,7 @@
 	askFails        int
 }
 
-var (
-	_ brain.Decider = (*node)(nil)
-	_ Chooser       = (*node)(nil)
-)
+var _ brain.Decider = (*node)(nil)
 
 func newNode(cfg brain.Settings, seed uint64, r rule) *node {
 	rng := rand.New(rand.NewPCG(seed, 0x706c61696e))
@@ -83,8 +80,9 @@
 		reqs: map[string]*request{}}
 }
 
-// Choices implements Chooser; no plain policy looks for bursts.
-func (n *node) Choices() (k int, burst bool) { return n.rule.choices(len(n.ready)), false }
+// Burst tells of how many servers one is drawn now (K), which the lab plots over time; no plain policy looks for
+// bursts.
+func (n *node) Burst() (k int, on bool) { return n.rule.choices(len(n.ready)), false }
 
 // Handle takes one event and appends the actions it calls for.
 func (n *node) Handle(now time.Duration, ev brain.Event, actions []brain.Action) []brain.Action {
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -63,9 +63,3 @@
 	}
 	return nil, fmt.Errorf("policy: %q is none of %s", name, strings.Join(Names(), ", "))
 }
-
-// Chooser is a policy that tells of how many servers it draws one now (K), and whether it holds that there is a
-// burst. The lab plots both over time.
-type Chooser interface {
-	Choices() (k int, burst bool)
-}
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -362,6 +362,20 @@
 	}
 }
 
+func TestK(t *testing.T) {
+	for name, want := range map[string]int{"random": 6, "power-of-two": 1, "greedy": 1, "static-k=3": 3, "static-k=9": 6} {
+		d := make1(t, name, settings()).(*node)
+		u := &brain.FleetUpdate{Kind: brain.UpdateRestored}
+		for i := range 7 {
+			u.Members = append(u.Members, brain.Member{Server: fmt.Sprint(i), State: brain.Readiness(i / 6)})
+		}
+		d.Handle(0, u, nil)
+		if k, on := d.Burst(); k != want || on {
+			t.Errorf("%s: K is %d, want %d; burst %v", name, k, want, on)
+		}
+	}
+}
+
 func TestNewNamesWhatIsWrong(t *testing.T) {
 	for name, want := range map[string]string{"best": `"best" is none of`, "static-k=0": "from 1 on",
 		"static-k": "none of"} {
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -15,6 +15,9 @@
 // runsMost is the number of runs that are listed one by one: beyond it the means say more, and the CSV has the rest.
 const runsMost = 40
 
+// faultsMost is the number of faults that can be told apart in one plot.
+const faultsMost = 24
+
 // HTML writes the page of some records: for each scenario its policies side by side, compared seed by seed.
 func HTML(w io.Writer, title string, records []result.Record) error {
 	type group struct {
@@ -47,22 +50,22 @@
 
 // section is one scenario.
 type section struct {
-	Title      string
-	Void       []string
-	Policies   []string
-	Means      []row
-	Against    []string
-	Ours       string
-	Verdicts   []row
-	Note       string
-	Runs       []result.Run
-	More       int
-	Faults     []fault
-	Latencies  template.HTML
-	Goodputs   template.HTML
-	Loads      []figure
-	Choices    []figure
-	Everything int
+	Title     string
+	Void      []string
+	Policies  []string
+	Means     []row
+	Against   []string
+	Ours      string
+	Verdicts  []row
+	Note      string
+	Runs      []result.Run
+	More      int
+	Faults    []fault
+	Latencies template.HTML
+	Goodputs  template.HTML
+	Loads     []figure
+	Choices   []figure
+	Still     []string // policies of one K
 }
 
 type row struct {
@@ -81,7 +84,7 @@
 }
 
 func newSection(title string, records []result.Record) (section, error) {
-	s := section{Title: title, Everything: len(records)}
+	s := section{Title: title}
 	byPolicy := map[string][]result.Record{}
 	for _, r := range records {
 		if r.Void {
@@ -135,6 +138,12 @@
 			s.Verdicts[i].Cells = append(s.Verdicts[i].Cells, c.Verdict)
 		}
 	}
+	if n := len(merged[0].Faults); n > faultsMost { // drawn anew for each seed, they would shade all there is
+		s.Note += fmt.Sprintf("The runs have %d faults between them, which differ from seed to seed, and are not shaded. ", n)
+		for i := range merged {
+			merged[i].Faults = nil
+		}
+	}
 	for i, f := range merged[0].Faults {
 		s.Faults = append(s.Faults, fault{letter(i), f})
 	}
@@ -165,6 +174,10 @@
 		} else if text != "" {
 			s.Loads = append(s.Loads, figure{merged[i].Policy, template.HTML(text)})
 		}
+		if k, ok := still(&merged[i]); ok {
+			s.Still = append(s.Still, fmt.Sprintf("%s (%g)", merged[i].Policy, k))
+			continue
+		}
 		if text, err = choices(&merged[i]); err != nil {
 			return err
 		} else if text != "" {
@@ -189,16 +202,18 @@
 <title>{{.Title}}</title>
 <style>
 body { font: 14px/1.45 system-ui, "Liberation Sans", "DejaVu Sans", sans-serif; color: #1c1c1c; background: #fff;
-  max-width: 1040px; margin: 1.5em auto; padding: 0 1em; }
+  max-width: 1240px; margin: 1.5em auto; padding: 0 1em; }
 h1 { font-size: 1.5em; } h2 { font-size: 1.25em; border-bottom: 1px solid #bbb; margin-top: 2em; }
 h3 { font-size: 1em; margin: 1.6em 0 .3em; }
 .wide { overflow-x: auto; }
-table { border-collapse: collapse; font-variant-numeric: tabular-nums; }
-th, td { padding: .15em .7em; text-align: right; border-bottom: 1px solid #e4e4e4; white-space: nowrap; }
+table { border-collapse: collapse; font-size: 12.5px; font-variant-numeric: tabular-nums; }
+th, td { padding: .15em .6em; text-align: right; border-bottom: 1px solid #e4e4e4; white-space: nowrap; }
 th:first-child, td:first-child, td.text, th.text { text-align: left; }
 td.better { color: #00684c; font-weight: 600; } td.worse { color: #a33c00; font-weight: 600; } td.not { color: #777; }
+.verdicts td, .verdicts th { white-space: normal; max-width: 10em; } .verdicts td:first-child { white-space: nowrap; }
 p.note { color: #555; margin: .2em 0 .6em; max-width: 52em; }
-svg { max-width: 100%; height: auto; } svg text { font-family: "Liberation Sans", "DejaVu Sans", Arial, sans-serif !important; }
+svg { max-width: 100%; height: auto; }
+svg text { font-family: "Liberation Sans", "DejaVu Sans", Arial, sans-serif !important; }
 svg image { image-rendering: pixelated; }
 </style></head><body>
 <h1>{{.Title}}</h1>
@@ -213,9 +228,9 @@
 {{end}}</table></div>
 {{if .Verdicts}}
 <h3>{{.Ours}}, against</h3>
-<p class="note">Differences over the same seeds, with Student's 95 % interval. Of twenty entries that differ by chance alone one
-is told apart.</p>
-<div class="wide"><table><tr><th></th>{{range .Against}}<th>{{.}}</th>{{end}}</tr>
+<p class="note">Differences over the same seeds, with Student's 95 % interval.
+Of twenty entries that differ by chance alone one is told apart.</p>
+<div class="wide"><table class="verdicts"><tr><th></th>{{range .Against}}<th>{{.}}</th>{{end}}</tr>
 {{range .Verdicts}}<tr><td>{{.Name}}</td>{{range .Cells}}<td class="{{word .}}">{{.}}</td>{{end}}</tr>
 {{end}}</table></div>{{end}}
 {{if .Note}}<p class="note">{{.Note}}</p>{{end}}
@@ -223,14 +238,20 @@
 <h3>Goodput over time</h3>{{.Goodputs}}
 {{if .Faults}}<p class="note">Shaded: {{range $i, $f := .Faults}}{{if $i}}; {{end}}<b>{{.Letter}}</b> {{.What}}
 {{- if .Target}} ({{.Target}}){{end}}, {{printf "%.1f to %.1f s" .From .To}}{{end}}.</p>{{end}}
+{{if .Loads}}<p class="note">
+In the maps below a row is an app node, white is idle, and grey is where there was none.</p>{{end}}
 {{range .Loads}}<h3>Load by app node: {{.Title}}</h3>{{.SVG}}{{end}}
 {{range .Choices}}<h3>K and the state of burst: {{.Title}}</h3>{{.SVG}}{{end}}
+{{if .Still}}<p class="note">One K throughout: {{range $i, $p := .Still}}{{if $i}}, {{end}}{{$p}}{{end}}.</p>{{end}}
 <h3>Runs</h3>
-<div class="wide"><table><tr><th>policy</th><th>seed</th><th>offered</th><th>served</th><th>refused</th><th>failed</th><th>lost</th>
-<th>dupl.</th><th>drain</th><th>cold</th><th>leaked</th><th>goodput</th><th>p50 ms</th><th>p99 ms</th><th>pressure</th><th>speedup</th>
-<th>digest</th></tr>
-{{range .Runs}}<tr><td>{{.Policy}}</td><td>{{.Seed}}</td><td>{{.Offered}}</td><td>{{.Served}}</td><td>{{.Refused}}</td><td>{{.Failed}}</td>
-<td>{{.Lost}}</td><td>{{.Duplicated}}</td><td>{{.DrainBreaks}}</td><td>{{.ColdBreaks}}</td><td>{{.Leaked}}</td>
+<div class="wide"><table><tr><th>policy</th><th>seed</th><th>offered</th><th>served</th><th>refused</th>
+<th>failed</th><th>lost</th><th>dupl.</th><th>drain</th><th>cold</th><th>leaked</th><th>goodput</th>
+<th>p50 ms</th><th>p99 ms</th>
+<th>pressure</th><th>speedup</th><th>digest</th></tr>
+{{range .Runs}}<tr><td>{{.Policy}}</td><td>{{.Seed}}</td><td>{{.Offered}}</td><td>{{.Served}}</td>
+<td>{{.Refused}}</td>
+<td>{{.Failed}}</td><td>{{.Lost}}</td><td>{{.Duplicated}}</td><td>{{.DrainBreaks}}</td><td>{{.ColdBreaks}}</td>
+<td>{{.Leaked}}</td>
 <td>{{printf "%.4f" .Goodput}}</td><td>{{printf "%.1f" .Latency.P50}}</td><td>{{printf "%.1f" .Latency.P99}}</td>
 <td>{{printf "%.2f" .PeakPressure}}</td><td>{{printf "%.0f" .Speedup}}</td><td>{{printf "%.12s" .Digest}}</td></tr>
 {{end}}</table></div>
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -6,6 +6,7 @@
 	"image/color"
 	"math"
 	"strconv"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/font"
@@ -30,10 +31,11 @@
 // Okabe and Ito's colours, which the colour-blind can tell apart, ours first.
 var colours = []color.Color{
 	color.NRGBA{0, 114, 178, 255}, color.NRGBA{213, 94, 0, 255}, color.NRGBA{0, 158, 115, 255},
-	color.NRGBA{204, 121, 167, 255}, color.NRGBA{230, 159, 0, 255}, color.NRGBA{86, 180, 233, 255}, color.NRGBA{60, 60, 60, 255},
+	color.NRGBA{204, 121, 167, 255}, color.NRGBA{230, 159, 0, 255}, color.NRGBA{86, 180, 233, 255},
+	color.NRGBA{60, 60, 60, 255},
 }
 
-var faultColour, gridColour = color.NRGBA{200, 60, 60, 36}, color.NRGBA{0, 0, 0, 28}
+var gridColour = color.NRGBA{0, 0, 0, 28}
 
 func newPlot(x, y string) *plot.Plot {
 	p := plot.New()
@@ -72,7 +74,9 @@
 	if at < 0 {
 		return "", fmt.Errorf("report: a plot without an svg element")
 	}
-	return string(b.Bytes()[at:]), nil
+	// A cell of a map is as wide and as high as the axes make it, and what the package calls a JPEG is a PNG.
+	return strings.NewReplacer("<image ", `<image preserveAspectRatio="none" `, "data:image/jpg;", "data:image/png;").
+		Replace(string(b.Bytes()[at:])), nil
 }
 
 func newLegend(p *plot.Plot) *plot.Legend {
@@ -105,7 +109,7 @@
 func latencies(records []result.Record) (string, error) {
 	p := newPlot("share of served requests answered within", "ms from the moment it was due")
 	legend := newLegend(p)
-	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	// The logarithms are taken here: the package's own scale places the axes' names by the linear one.
 	shares := []float64{0, 50, 90, 99, 99.9, 99.99, 99.999}
 	low, high, most := math.Inf(1), 0.0, 10.0
 	for i := range records {
@@ -116,7 +120,7 @@
 		var xy plotter.XYs
 		for x := 1.0; x <= float64(t.TotalCount()); x *= 1.04 { // x = 1 / share that took longer
 			y := max(0.001, float64(t.ValueAtPercentile(100-100/x))/1000)
-			xy = append(xy, plotter.XY{X: x, Y: y})
+			xy = append(xy, plotter.XY{X: math.Log10(x), Y: math.Log10(y)})
 			low, high, most = min(low, y), max(high, y), max(most, x)
 		}
 		if err := addLine(p, legend, xy, i, records[i].Policy); err != nil {
@@ -129,17 +133,18 @@
 	var ticks []plot.Tick
 	for _, s := range shares {
 		if x := 100 / (100 - s); x <= most {
-			ticks = append(ticks, plot.Tick{Value: x, Label: strconv.FormatFloat(s, 'f', -1, 64) + " %"})
+			ticks = append(ticks, plot.Tick{Value: math.Log10(x), Label: strconv.FormatFloat(s, 'f', -1, 64) + " %"})
 		}
 	}
 	p.X.Tick.Marker = plot.ConstantTicks(ticks)
-	p.X.Min, p.X.Max = 1, most
-	p.Y.Min, p.Y.Max = low/1.1, high*1.1
-	p.Y.Tick.Marker = plot.ConstantTicks(decades(p.Y.Min, p.Y.Max))
+	p.X.Min, p.X.Max = 0, math.Log10(most)
+	p.Y.Min, p.Y.Max = math.Log10(low/1.1), math.Log10(high*1.1)
+	p.Y.Tick.Marker = plot.ConstantTicks(decades(low/1.1, high*1.1))
 	return svg(p, plotHigh, legend)
 }
 
-// decades gives the ticks 1, 2, 5, 10, and so on, in a range; over many decades the tens alone have labels.
+// decades gives the ticks 1, 2, 5, 10, and so on, of a range by their logarithms; over many decades the tens alone have
+// labels.
 func decades(low, high float64) (ticks []plot.Tick) {
 	few := high/low < 2000
 	for e := math.Floor(math.Log10(low)); e <= math.Log10(high); e++ {
@@ -148,7 +153,7 @@
 			if v < low || v > high {
 				continue
 			}
-			t := plot.Tick{Value: v}
+			t := plot.Tick{Value: math.Log10(v)}
 			if few || m == 1 {
 				t.Label = strconv.FormatFloat(v, 'g', 6, 64)
 			}
@@ -158,21 +163,40 @@
 	return ticks
 }
 
+// even gives round ticks from 0 on, about ten of them.
+func even(end float64) plot.ConstantTicks {
+	step := math.Pow(10, math.Floor(math.Log10(max(end, 1e-9)/8)))
+	for _, m := range []float64{1, 2, 5, 10} {
+		if end/(step*m) <= 12 {
+			step *= m
+			break
+		}
+	}
+	var ticks plot.ConstantTicks
+	for i := 0; float64(i)*step <= end*(1+1e-9); i++ {
+		ticks = append(ticks, plot.Tick{Value: float64(i) * step, Label: strconv.FormatFloat(float64(i)*step, 'g', 6, 64)})
+	}
+	return ticks
+}
+
 // shade marks the faults from bottom to top of a plot over time, each with its letter above.
 func shade(p *plot.Plot, faults []result.Fault, bottom, top, end float64) error {
+	// The more there are the fainter each, since where they overlap their shades add up.
+	tint := color.NRGBA{200, 60, 60, uint8(max(8, 40/math.Sqrt(max(1, float64(len(faults))))))}
 	var names plotter.XYLabels
 	for i, f := range faults {
-		to := min(f.To, end)
-		if f.From >= to {
+		if f.From >= end {
 			continue
 		}
-		box, err := plotter.NewPolygon(plotter.XYs{{X: f.From, Y: bottom}, {X: f.From, Y: top}, {X: to, Y: top}, {X: to, Y: bottom}})
+		to := max(min(f.To, end), f.From+end/500) // what has no length is a thin line
+		box, err := plotter.NewPolygon(plotter.XYs{{X: f.From, Y: bottom}, {X: f.From, Y: top}, {X: to, Y: top},
+			{X: to, Y: bottom}})
 		if err != nil {
 			return err
 		}
-		box.Color, box.LineStyle.Width = faultColour, 0
+		box.Color, box.LineStyle.Width = tint, 0
 		p.Add(box)
-		names.XYs = append(names.XYs, plotter.XY{X: f.From, Y: top})
+		names.XYs = append(names.XYs, plotter.XY{X: f.From, Y: top - float64(i%3)*0.04*(top-bottom)}) // in steps, to be read
 		names.Labels = append(names.Labels, letter(i))
 	}
 	if len(names.Labels) == 0 {
@@ -226,7 +250,7 @@
 }
 
 func goodputs(records []result.Record) (string, error) {
-	p := newPlot("s", "goodput of what was due then")
+	p := newPlot("time, s", "goodput of what was due then")
 	legend := newLegend(p)
 	end := endOf(records)
 	if err := shade(p, records[0].Faults, 0, 1.05, end); err != nil {
@@ -238,22 +262,42 @@
 		}
 	}
 	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, end, 0, 1.05
+	p.X.Tick.Marker, p.Y.Tick.Marker = even(end), even(1)
 	return svg(p, plotHigh, legend)
 }
 
+// still says whether a policy has one K throughout and never a burst, so that a plot would tell nothing.
+func still(r *result.Record) (k float64, ok bool) {
+	for i := range r.Windows {
+		w := &r.Windows[i]
+		if w.Looks == 0 {
+			continue
+		}
+		if now := w.K / float64(w.Looks); !ok {
+			k, ok = now, true
+		} else if math.Abs(now-k) > 1e-9 {
+			return 0, false
+		}
+		if w.Bursts > 0 {
+			return 0, false
+		}
+	}
+	return k, ok
+}
+
 // choices plots K as a line and, at the foot, the share of balancers that hold that there is a burst.
 func choices(r *result.Record) (string, error) {
 	ks := overTime(r, func(w *result.Window) (float64, bool) { return w.K / float64(w.Looks), w.Looks > 0 })
 	if len(ks) == 0 {
 		return "", nil
 	}
-	p := newPlot("s", "K")
+	p := newPlot("time, s", "K")
 	legend := newLegend(p)
 	end, top := endOf([]result.Record{*r}), 1.0
 	for _, k := range ks {
 		top = max(top, k.Y)
 	}
-	top *= 1.15
+	top = math.Ceil(top * 1.1)
 	if err := shade(p, r.Faults, 0, top, end); err != nil {
 		return "", err
 	}
@@ -272,6 +316,7 @@
 		return "", err
 	}
 	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, end, 0, top
+	p.X.Tick.Marker, p.Y.Tick.Marker = even(end), even(top)
 	return svg(p, plotHigh*0.7, legend)
 }
 
@@ -298,18 +343,15 @@
 	return sum / n
 }
 
-// loads maps the load of each app node over time, a row each, the first on top. top is the scale's end, so that the maps
-// of several policies can be compared.
+// loads maps the load of each app node over time, a row each, the first on top. top is the scale's end, so that the
+// maps of several policies can be compared.
 func loads(r *result.Record, top float64) (string, error) {
 	if len(r.Loads) == 0 || len(r.Windows) < 2 || top <= 0 {
 		return "", nil
 	}
 	g := grid{r: r, step: (len(r.Windows) + pointsMost - 1) / pointsMost}
 	g.cols = (len(r.Windows) + g.step - 1) / g.step
-	if g.cols < 2 {
-		return "", nil
-	}
-	p := newPlot("s", "")
+	p := newPlot("time, s", "")
 	scale := moreland.ExtendedBlackBody()
 	scale.SetMin(0)
 	scale.SetMax(top)
@@ -327,6 +369,7 @@
 	}
 	p.Y.Tick.Marker = plot.ConstantTicks(names)
 	p.X.Min, p.X.Max = 0, float64(g.cols*g.step)*r.Width
+	p.X.Tick.Marker = even(p.X.Max)
 	high := vg.Length(min(max(9*len(r.Loads), 90), 300)) + 40
 	c := vgsvg.New(plotWide, high)
 	whole := draw.New(c)
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -42,10 +42,13 @@
 		if bad {
 			k = 4
 		}
-		r.Choices(at, k, bad)
+		if at < 15*time.Second || at > 16*time.Second { // nobody looked for a while
+			r.Choices(at, k, bad)
+		}
 	}
 	r.Fault("slow by 4", "node-3", 8*time.Second, 12*time.Second)
-	return r.Record(result.Run{Scenario: "slow <nodes>", Policy: policy, On: "virtual", Seed: seed, Digest: "00ff", Speedup: 512})
+	return r.Record(result.Run{Scenario: "slow <nodes>", Policy: policy, On: "virtual", Seed: seed, Digest: "00ff",
+		Speedup: 512})
 }
 
 func days() (all []result.Record) {
@@ -68,7 +71,8 @@
 func TestThePageStandsAlone(t *testing.T) {
 	text := page(t, days())
 	// Whatever a browser would load has to be within the page.
-	for _, m := range regexp.MustCompile(`(?i)(?:src|href|url|@import)\s*[=(]\s*["']?([^"')\s>]+)`).FindAllStringSubmatch(text, -1) {
+	loads := regexp.MustCompile(`(?i)(?:src|href|url|@import)\s*[=(]\s*["']?([^"')\s>]+)`)
+	for _, m := range loads.FindAllStringSubmatch(text, -1) {
 		if !strings.HasPrefix(m[1], "data:") && !strings.HasPrefix(m[1], "#") {
 			t.Errorf("the page asks for %s", m[1])
 		}
@@ -92,7 +96,11 @@
 			t.Errorf("plot %d holds a place that is none", i)
 		}
 	}
-	for _, want := range []string{"<th>ours</th><th>random</th>", "random, 5 pairs", "better by 0.0", "the lab ran 80 ms late",
+	if !strings.Contains(plots[1], ">A</text>") {
+		t.Error("the fault has no letter in the plot of goodput")
+	}
+	for _, want := range []string{"<th>ours</th><th>random</th>", "random, 5 pairs", "better by 0.0",
+		"the lab ran 80 ms late",
 		"<b>A</b> slow by 4 (node-3), 8.0 to 12.0 s"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("the page lacks %q", want)
@@ -119,7 +127,10 @@
 }
 
 func TestCSVHasTheNamesOfTheJSON(t *testing.T) {
-	runs := []result.Run{day("ours", 3, 0.2).Run}
+	run := day("ours", 3, 0.2).Run
+	run.Lost, run.Failed, run.Duplicated, run.DrainBreaks, run.ColdBreaks, run.Leaked = 11, 12, 13, 14, 15, 16
+	run.PeakPressure, run.Void = 1.75, true
+	runs := []result.Run{run}
 	var b, j bytes.Buffer
 	if err := CSV(&b, runs); err != nil {
 		t.Fatal(err)
@@ -159,8 +170,11 @@
 		t.Fatal(err)
 	}
 	lines, err := csv.NewReader(&b).ReadAll()
-	if err != nil || len(lines) != 1+200 || strings.Join(lines[101][6:], " ") != "1.0000 4.000 1.000" && lines[101][7] != "4.000" {
-		t.Errorf("%d lines, at 10 s %v, %v", len(lines), lines[101], err)
+	if err != nil || len(lines) != 1+200 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	if got := strings.Join(lines[101][:2], " ") + " " + strings.Join(lines[101][7:], " "); got != "10.000 5 4.000 1.000" {
+		t.Errorf("at 10 s: %s", got)
 	}
 }
 
@@ -176,7 +190,8 @@
 	if err != nil || len(got) != 3 || got[0].Policy != "greedy" || got[2].Seed != 11 {
 		t.Fatalf("%d records, %v", len(got), err)
 	}
-	if got[1].Run != want.Run || !reflect.DeepEqual(got[1].Windows, want.Windows) || got[1].Times.Latency() != want.Latency {
+	if got[1].Run != want.Run || !reflect.DeepEqual(got[1].Windows, want.Windows) ||
+		got[1].Times.Latency() != want.Latency {
 		t.Errorf("came back as %+v", got[1].Run)
 	}
 	if _, err := Load(t.TempDir()); err == nil {
--- a/internal/lab/result/merge.go
+++ b/internal/lab/result/merge.go
@@ -7,8 +7,8 @@
 )
 
 // Merge makes one record of several runs of one scenario under one policy: counts and series are added up, latencies
-// are those of all requests together, peaks the highest. Faults stay where all runs had the same. Void runs are left
-// out.
+// are those of all requests together, peaks the highest. Faults of one kind and time are one, of whatever target.
+// Void runs are left out.
 func Merge(records []Record) (Record, error) {
 	var m Record
 	for i := range records {
@@ -74,8 +74,13 @@
 			m.Loads[k].add(&r.Loads[i])
 		}
 	}
-	if !slices.Equal(m.Faults, r.Faults) {
-		m.Faults = nil
+	for _, f := range r.Faults {
+		k := slices.IndexFunc(m.Faults, func(o Fault) bool { return o.What == f.What && o.From == f.From && o.To == f.To })
+		if k < 0 {
+			m.Faults = append(m.Faults, f)
+		} else if m.Faults[k].Target != f.Target {
+			m.Faults[k].Target = "varies"
+		}
 	}
 	return nil
 }
@@ -85,6 +90,7 @@
 	c := *r
 	c.Windows = slices.Clone(r.Windows)
 	c.Loads = slices.Clone(r.Loads)
+	c.Faults = slices.Clone(r.Faults)
 	for i := range c.Loads {
 		c.Loads[i].Looks, c.Loads[i].Sum = slices.Clone(c.Loads[i].Looks), slices.Clone(c.Loads[i].Sum)
 	}
--- a/internal/lab/result/recorder.go
+++ b/internal/lab/result/recorder.go
@@ -19,6 +19,7 @@
 	Refused
 	Failed
 	Lost // no final answer came
+	Left // its client went away first, so that nothing was owed: it counts as offered alone
 )
 
 // Recorder gathers one run. Everything is told to it on one goroutine; times are on the run's clock, from 0.
@@ -75,6 +76,7 @@
 	case Lost:
 		w.Lost++
 		r.rec.Lost++
+	case Left:
 	}
 }
 
--- a/internal/lab/result/result_test.go
+++ b/internal/lab/result/result_test.go
@@ -105,6 +105,8 @@
 		r.Load("s2", at, float64(at/time.Second))
 		r.Choices(at, 4, at < time.Second)
 	}
+	r.Offered(0, 0)
+	r.Ended(Left, 0, ms, 0)
 	r.Fault("slow", "s2", time.Second, 2*time.Second)
 	return r.Record(Run{Scenario: "calm", Policy: "ours", On: "virtual", Seed: seed, Digest: "d",
 		PeakPressure: float64(seed)})
@@ -112,7 +114,7 @@
 
 func TestRecorderCountsByWindow(t *testing.T) {
 	r := record(200, 0)
-	if r.Offered != 20000 || r.Served != 15000 || r.Refused != 5000 || math.Abs(r.Goodput-0.75) > 1e-9 {
+	if r.Offered != 20001 || r.Failed+r.Lost != 0 || r.Served != 15000 || r.Refused != 5000 || math.Abs(r.Goodput-0.75) > 1e-9 {
 		t.Errorf("%+v", r.Run)
 	}
 	if r.Width != 0.4 || len(r.Windows) != 500 { // 2000 windows of 0.1 s joined to at most 512
@@ -167,7 +169,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if m.Runs != 2 || m.Offered != 22000 || m.Width != 0.4 || len(m.Windows) != 500 || m.Windows[0].Offered != 80 {
+	if m.Runs != 2 || m.Offered != 22002 || m.Width != 0.4 || len(m.Windows) != 500 || m.Windows[0].Offered != 82 {
 		t.Errorf("%d runs, %d offered, %d windows of %v s", m.Runs, m.Offered, len(m.Windows), m.Width)
 	}
 	if m.PeakPressure != 1 || math.Abs(m.Latency.P50-20) > 0.02 || m.Times.TotalCount() != 16500 || len(m.Faults) != 1 {
@@ -176,7 +178,7 @@
 	if mean, _ := m.Loads[0].Mean(3); mean != 3 {
 		t.Errorf("load of s1: %v", mean)
 	}
-	if short.Windows[0].Offered != 10 || short.Times.TotalCount() != 1500 {
+	if short.Windows[0].Offered != 11 || short.Times.TotalCount() != 1500 {
 		t.Error("merging changed what it merged")
 	}
 	long.Policy = "random"
