Hold pools in the reducer, and enter lists in slices whose cost does not grow

Need: all app nodes were one group, and a list of 10,000 stopped every call for half a second. Change: a layout names pools, each with a decider and members of its own; a call goes to the pool that the routes name and stays there; a reload deals the app nodes anew. Lists are entered 200 entries an event, as changes only, with indices for addresses and idle connections in place of searches. Not used yet: the program names no pools.

--- a/brain/api.go
+++ b/brain/api.go
@@ -159,6 +159,7 @@
 	Weight  float64
 	Started time.Duration // 0: long ago
 	State   Readiness
+	Bit     uint64 // of the group that bounds on requests name; 0: of none
 }
 
 // FleetUpdate is what discovery says.
@@ -176,8 +177,15 @@
 	Key      string  // what the request is about; empty: not told
 	Work     float64 // expected work in ms on a standard core; 0: not told
 	Deadline time.Duration
+
+	// First and Later bound where it may go: the first attempt, and further ones, each to servers of whose Bit it has.
+	// 0: anywhere. With Nowhere as First it is given up at once.
+	First, Later uint64
 }
 
+// Nowhere is the bound that no server meets.
+const Nowhere = uint64(1) << 63
+
 // Outcome of an attempt or a probe.
 type Outcome uint8
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,7 @@
 
 	sampleMin   = 12              // servers: well beyond power-of-d choices, yet warm for a quiet node
 	samplePer   = 1.5             // servers per own request in flight: room to spread without new connections
+	lookMost    = 1000            // servers looked at for one request that the sample holds nobody for
 	rotateEvery = 8 * time.Second // the worst of the sample gives way to an outsider
 
 	reportLag   = 0.3  // seconds: by so much a load report may lag behind what this node has sent meanwhile
@@ -486,10 +487,7 @@
 			count++
 		}
 	}
-	if count > 0 {
-		mean = sum / count
-	}
-	return mean, n.coverage()
+	return sum / max(1, count), n.coverage()
 }
 
 // coverage is how many nodes are expected to have a given server in their sample.
@@ -741,6 +739,9 @@
 // the servers that drop its repeats and while they remember it (keyed). Never twice to the same server.
 func (n *Node) mayRepeatAt(r *request, s *server) bool {
 	c := &n.classes[r.Class]
+	if r.First != 0 && r.First&s.Bit == 0 {
+		return false
+	}
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if a.srv == s {
@@ -788,7 +789,7 @@
 		}
 	}
 	from := n.rng.IntN(len(n.fleet))
-	for i := range n.fleet {
+	for i := range min(len(n.fleet), lookMost) {
 		if s := n.fleet[(from+i)%len(n.fleet)]; (n.warmth(s) >= 1 || len(n.rank) == 0) && n.allowed(s, r) &&
 			n.inTime(s, r) {
 			return s
@@ -824,7 +825,7 @@
 
 // dispatch sends a request to the picked server, or holds it while that makes sense.
 func (n *Node) dispatch(r *request) {
-	if len(r.attempts) >= n.cfg.MaxAttempts || n.now >= r.Deadline-answerMargin {
+	if len(r.attempts) >= n.cfg.MaxAttempts || n.now >= r.Deadline-answerMargin || r.First == Nowhere {
 		n.giveUp(r)
 		return
 	}
@@ -856,7 +857,7 @@
 	if n.warmth(s) >= 1 {
 		n.sends++
 	}
-	r.out++
+	r.out, r.First = r.out+1, r.Later // what bounds the next
 	r.attempts = append(r.attempts, attempt{srv: s, sent: n.now, load: s.figure, size: size})
 	n.emit(Action{Kind: Send, ID: r.ID, Server: s.Server})
 	c := &n.classes[r.Class]
@@ -872,10 +873,8 @@
 func (n *Node) onTimer(cookie uint64) {
 	switch cookie {
 	case cookieAsk:
-		if n.askArmed {
-			n.askArmed = false
-			n.emit(Action{Kind: Subscribe})
-		}
+		n.askArmed = false
+		n.emit(Action{Kind: Subscribe})
 	case cookieParked:
 		n.ticking = false
 		n.retryParked()
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -275,3 +275,38 @@
 		t.Errorf("%d servers known, 2 are there", n)
 	}
 }
+
+// A bound on a request holds for its first attempt, and another for later ones; servers without a group meet none, and
+// what may go nowhere is given up at once.
+func TestABoundOnARequest(t *testing.T) {
+	list := members(6)
+	for i := range list {
+		list[i].Bit = 1 << (i % 2)
+	}
+	b := newBed(testSettings(), append(list, Member{Server: "none", Zone: "z1", Weight: 1}))
+	for i := range 60 {
+		b.seq++
+		id, first := fmt.Sprint("b", b.seq), uint64(1)<<(i%2)
+		acts := b.do(&Request{ID: id, Class: read, Tenant: -1, Deadline: b.now + time.Second, First: first, Later: 3 - first})
+		sent := only(acts, Send)
+		if len(sent) != 1 || b.node.byID[sent[0].Server].Bit != first {
+			t.Fatalf("bound to %d: %+v", first, acts)
+		}
+		if i%10 != 9 {
+			b.end(id, 0, sent[0].Server, OK, 5*ms)
+			continue
+		}
+		again := only(b.end(id, 0, sent[0].Server, ConnectFailed, ms), Send)
+		if i > 20 && (len(again) != 1 || b.node.byID[again[0].Server].Bit != 3-first) {
+			t.Fatalf("then to %d: %+v", 3-first, again)
+		}
+		if len(again) == 1 {
+			b.end(id, 1, again[0].Server, OK, 5*ms)
+		}
+		b.now += 50 * ms
+	}
+	acts := b.do(&Request{ID: "nowhere", Class: pay, Tenant: -1, Deadline: b.now + time.Second, First: Nowhere})
+	if len(acts) != 1 || acts[0].Kind != Refuse || len(b.node.reqs) != 0 {
+		t.Errorf("%+v, %d held", acts, len(b.node.reqs))
+	}
+}
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -10,6 +10,8 @@
 	// The node knows calls by numbers of ours: a client that sends the same id again, as it may after a
 	// closed connection, must not meet what is left of the first.
 	c := &call{Call: in, deadline: in.Deadline - answerMargin, brainID: strconv.FormatUint(in.ID, 10)}
+	c.pool = r.poolOf(in)
+	c.pool.open++
 	r.calls[in.ID], r.byBrain[c.brainID] = c, c
 	if first := r.byClient[c.ClientID]; first != nil {
 		// Ids are fresh, so one of the two is a copy, and which of them is not told by the order in which we read
@@ -23,6 +25,9 @@
 	} else if c.deadline <= r.now {
 		r.answer(c, r.unserved(c))
 		return
+	} else if c.pool.MaxOpen > 0 && c.pool.open > c.pool.MaxOpen {
+		r.answer(c, r.refusal())
+		return
 	}
 	r.emit(Arm{max(0, c.deadline-r.now), deadline{c.ID}})
 	if !c.waiting {
@@ -39,7 +44,7 @@
 	if c.ClientID != "" {
 		r.byClient[c.ClientID] = c
 	}
-	r.tell(&brain.Request{ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
+	r.tell(c.pool, &brain.Request{ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
 		Work: c.Work, Deadline: c.deadline})
 }
 
@@ -85,7 +90,7 @@
 // onClientGone: nothing is owed any more. What flows to the client is no business of the module's, so it ends here.
 func (r *Reducer) onClientGone(c *call) {
 	c.done = true
-	r.tell(&brain.ClientGone{ID: c.brainID})
+	r.tell(c.pool, &brain.ClientGone{ID: c.brainID})
 	if d := c.flow; d != nil && !d.over {
 		r.abandon(d)
 		r.end(d, brain.Cancelled, nil)
@@ -115,7 +120,7 @@
 	}
 	if !c.done { // held by the node, or forgotten
 		r.answer(c, r.unserved(c))
-		r.tell(&brain.ClientGone{ID: c.brainID})
+		r.tell(c.pool, &brain.ClientGone{ID: c.brainID})
 	}
 	r.settle(c)
 	r.forget(c)
@@ -133,9 +138,12 @@
 }
 
 func (r *Reducer) forget(c *call) {
-	if c.done && c.out == 0 {
+	if c.done && c.out == 0 && r.calls[c.ID] == c {
 		delete(r.calls, c.ID)
 		delete(r.byBrain, c.brainID)
+		if c.pool.open--; c.pool.open == 0 && c.pool.retired {
+			r.retire()
+		}
 	}
 }
 
--- a/internal/reducer/connections.go
+++ b/internal/reducer/connections.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"pewterrudder/brain"
@@ -43,18 +44,37 @@
 	}
 	k.state, k.idleSince, k.delg = idle, r.now, nil
 	k.srv.idle = append(k.srv.idle, k)
+	if k.older = r.newest; k.older != nil {
+		k.older.newer = k
+	} else {
+		r.oldest = k
+	}
+	r.newest = k
 	r.armSweep()
 }
 
+// wake takes a connection from among the idle ones.
+func (r *Reducer) wake(k *conn) {
+	if i := slices.Index(k.srv.idle, k); i >= 0 {
+		k.srv.idle = slices.Delete(k.srv.idle, i, i+1)
+	}
+	if k.older != nil {
+		k.older.newer = k.newer
+	} else {
+		r.oldest = k.newer
+	}
+	if k.newer != nil {
+		k.newer.older = k.older
+	} else {
+		r.newest = k.older
+	}
+	k.older, k.newer = nil, nil
+}
+
 // close is the one place where a connection is given back.
 func (r *Reducer) close(k *conn) {
 	if k.state == idle {
-		for i, o := range k.srv.idle {
-			if o == k {
-				k.srv.idle = append(k.srv.idle[:i], k.srv.idle[i+1:]...)
-				break
-			}
-		}
+		r.wake(k)
 	}
 	k.state = closed
 	delete(r.conns, k.id)
@@ -64,17 +84,10 @@
 
 // closeOldest makes room under the descriptor budget.
 func (r *Reducer) closeOldest() bool {
-	var oldest *conn
-	for _, k := range r.conns {
-		if k.state == idle && (oldest == nil || k.idleSince < oldest.idleSince ||
-			k.idleSince == oldest.idleSince && k.id < oldest.id) {
-			oldest = k
-		}
-	}
-	if oldest == nil {
+	if r.oldest == nil {
 		return false
 	}
-	r.close(oldest)
+	r.close(r.oldest)
 	return true
 }
 
@@ -92,14 +105,10 @@
 
 func (r *Reducer) onSweep() {
 	r.sweeping = false
-	left := false
-	for _, s := range r.ordered {
-		for len(s.idle) > 0 && r.now-s.idle[0].idleSince >= r.idleFor() {
-			r.close(s.idle[0])
-		}
-		left = left || len(s.idle) > 0
+	for r.oldest != nil && r.now-r.oldest.idleSince >= r.idleFor() {
+		r.close(r.oldest)
 	}
-	if left {
+	if r.oldest != nil {
 		r.armSweep()
 	}
 }
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -15,7 +15,7 @@
 	d := &delegation{call: c, attempt: len(c.delegations), server: a.Server, srv: r.servers[a.Server], sent: r.now}
 	c.delegations = append(c.delegations, d)
 	c.out++
-	if c.over() || d.srv == nil || d.attempt >= r.cfg.MaxAttempts {
+	if c.over() || d.srv == nil || d.srv.pools&(1<<c.pool.index) == 0 || d.attempt >= r.cfg.MaxAttempts {
 		r.end(d, brain.NeverSent, nil)
 		return
 	}
@@ -46,7 +46,7 @@
 			r.close(k)
 			continue
 		}
-		d.srv.idle = slices.Delete(d.srv.idle, at, at+1)
+		r.wake(k)
 		r.exchange(k, d)
 		return
 	}
@@ -99,7 +99,7 @@
 	if d.begun > 0 {
 		took = d.begun - d.sent
 	}
-	r.tell(&brain.AttemptEnded{ID: c.brainID, Attempt: d.attempt, Server: d.server, Outcome: o,
+	r.tell(c.pool, &brain.AttemptEnded{ID: c.brainID, Attempt: d.attempt, Server: d.server, Outcome: o,
 		Took: took, Final: c.done, Report: report})
 	r.forget(c)
 }
@@ -123,7 +123,7 @@
 	}
 	k.state, c.flow, d.begun = flowing, d, r.now
 	r.emit(Answer{c.ID, Reply{Kind: kind, Message: e.Message}})
-	r.tell(&brain.StreamBegun{ID: c.brainID, Attempt: d.attempt, Server: d.server, Took: r.now - d.sent})
+	r.tell(c.pool, &brain.StreamBegun{ID: c.brainID, Attempt: d.attempt, Server: d.server, Took: r.now - d.sent})
 }
 
 func (r *Reducer) onExchanged(e Exchanged) {
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -3,23 +3,32 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"pewterrudder/brain"
 )
 
+const (
+	// sliceMost bounds the entries of a list that one event works through, and walkMost the servers that one looks at:
+	// each keeps an event under a millisecond. What is left comes back as an event of its own, behind those that wait.
+	sliceMost = 200
+	walkMost  = 2000
+)
+
 func (r *Reducer) openWatch() {
 	r.watch++
 	r.watching = true
 	r.emit(Watch{r.watch, r.discovery, r.revision})
 }
 
-func (r *Reducer) onListed(l List) {
-	kind := brain.UpdateChanges
-	if l.Complete {
-		kind = brain.UpdateFull
-	}
-	r.onList(l, kind)
+// feed is work on the fleet that is under way: a list being entered, or the pools being dealt anew.
+type feed struct {
+	list  List
+	kind  brain.UpdateKind
+	deal  bool   // no list: only the pools have changed
+	epoch uint64 // of the servers that the list names
+	next  int    // entry
+	left  int    // servers still to be looked at, once all entries are in; they are taken from the end
+	walks bool   // that has begun
 }
 
 func (r *Reducer) onList(l List, kind brain.UpdateKind) {
@@ -27,73 +36,200 @@
 	if l.Complete {
 		r.revision = l.Revision // whatever came before, the list is this one
 	}
-	ready := false
-	for i := range l.Members {
-		m := &l.Members[i]
-		ready = ready || m.State == brain.Ready
-		s := r.servers[m.Server]
-		if m.State == brain.Gone {
-			if s != nil {
-				r.drop(s)
-			}
-			continue
-		}
-		if s == nil {
-			s = &server{id: m.Server, conns: map[uint64]*conn{}}
-			r.servers[m.Server], r.ordered = s, append(r.ordered, s)
-		}
-		// What is open to an old address, or was to the process before the last start, leads elsewhere or nowhere.
-		if l.Addresses[i] != "" && l.Addresses[i] != s.address || m.Started != s.started {
-			s.address, s.started = cmp.Or(l.Addresses[i], s.address), m.Started
-			r.doom(s)
-		}
+	r.epoch++
+	r.enqueue(&feed{list: l, kind: kind, epoch: r.epoch})
+}
+
+func (r *Reducer) enqueue(f *feed) {
+	if r.feeds = append(r.feeds, f); len(r.feeds) == 1 {
+		r.feedOn()
 	}
-	if l.Complete {
-		named := make(map[string]struct{}, len(l.Members)) // a search for each would take a second with 10,000 of them
-		for i := range l.Members {
-			named[l.Members[i].Server] = struct{}{}
+}
+
+// feedOn works through one slice. The pools hear of changes alone, and of an empty one if there are none: that
+// discovery has answered is news.
+func (r *Reducer) feedOn() {
+	f := r.feeds[0]
+	touched := r.touched[:0]
+	for n := sliceMost; n > 0 && f.next < len(f.list.Members); n-- {
+		if s := r.learn(&f.list.Members[f.next], f.list.Addresses[f.next], f.epoch); s != nil {
+			touched = append(touched, s)
 		}
-		for _, s := range slices.Clone(r.ordered) {
-			if _, ok := named[s.id]; !ok {
-				r.drop(s)
-			}
+		f.next++
+	}
+	for _, s := range touched {
+		r.displace(s)
+	}
+	clear(touched)
+	r.touched = touched[:0]
+	if f.next == len(f.list.Members) && (f.list.Complete || f.deal) {
+		r.walk(f)
+	}
+	over := f.next == len(f.list.Members) && f.left == 0
+	if over {
+		r.feeds = slices.Delete(r.feeds, 0, 1)
+	}
+	kind := f.kind
+	f.kind = brain.UpdateChanges // the rest of it
+	for _, p := range r.pools {
+		if p == nil || f.deal && len(p.changes) == 0 {
+			continue
 		}
+		changes := p.changes
+		p.changes = nil
+		r.tell(p, &brain.FleetUpdate{Kind: kind, Members: changes})
+		p.changes = changes[:0]
+	}
+	if f.deal && over {
+		r.retire()
 	}
-	l.Members = append(l.Members, r.displaced()...)
-	r.tell(&brain.FleetUpdate{Kind: kind, Members: l.Members})
 	// Without a server every call would only be held, so readiness waits for one.
-	if !r.readied && ready {
+	if !r.readied && r.ready > 0 {
 		r.readied = true
 		r.emit(Ready{})
 	}
+	if len(r.feeds) > 0 {
+		r.emit(Arm{0, more{}})
+	}
 }
 
-// displaced drops the servers at whose address another has started since, and gives the entries that tell the node:
-// that they are gone may be listed only later, and until then their calls would reach the new one.
-func (r *Reducer) displaced() (gone []brain.Member) {
-	latest := make(map[string]time.Duration, len(r.ordered)) // start at each address; it may lie before the clock's zero
-	for _, s := range r.ordered {
-		if at, ok := latest[s.address]; !ok || s.started > at {
-			latest[s.address] = s.started
+// learn enters one entry. It gives the server if it may now stand at the address of another.
+func (r *Reducer) learn(m *brain.Member, address string, epoch uint64) *server {
+	s := r.servers[m.Server]
+	if m.State == brain.Gone {
+		if s != nil {
+			r.drop(s)
 		}
+		return nil
+	}
+	if s == nil {
+		s = &server{id: m.Server, conns: map[uint64]*conn{}, at: len(r.ordered)}
+		r.servers[m.Server], r.ordered = s, append(r.ordered, s)
+		s.member.State = brain.Gone // until noted below
+	}
+	s.seen = epoch
+	moved := address != "" && address != s.address
+	// What is open to an old address, or was to the process before the last start, leads elsewhere or nowhere.
+	if moved || m.Started != s.member.Started {
+		r.leaveAddress(s)
+		s.address = cmp.Or(address, s.address)
+		r.byAddress[s.address] = append(r.byAddress[s.address], s)
+		r.doom(s)
+		moved = true
+	}
+	was := s.member
+	s.member = *m
+	s.member.Bit = r.zoneBit(m.Zone)
+	if was != s.member {
+		r.note(s, was.State)
+	}
+	if moved {
+		return s
 	}
-	for _, s := range slices.Clone(r.ordered) {
-		if s.started < latest[s.address] {
+	return nil
+}
+
+// walk looks at servers for what a whole list does not name any more, or for the pools that they belong to.
+func (r *Reducer) walk(f *feed) {
+	if !f.walks {
+		f.walks, f.left = true, len(r.ordered)
+	}
+	f.left = min(f.left, len(r.ordered))
+	for n := walkMost; n > 0 && f.left > 0; n-- {
+		f.left--
+		s := r.ordered[f.left] // one that is dropped gives its place to a later one, which has been looked at
+		switch {
+		case f.deal:
+			if r.mask(&s.member) != s.pools {
+				r.note(s, s.member.State)
+				n -= 10 // that is more than a look
+			}
+		case s.seen != f.epoch:
 			r.drop(s)
-			gone = append(gone, brain.Member{Server: s.id, State: brain.Gone})
+			n -= 10
+		}
+	}
+}
+
+// displace drops the servers at whose address another has started since: that they are gone may be listed only later, and
+// until then their calls would reach the new one.
+func (r *Reducer) displace(s *server) {
+	if s.gone {
+		return
+	}
+	last := s
+	for _, o := range r.byAddress[s.address] {
+		if o.member.Started > last.member.Started {
+			last = o
+		}
+	}
+	for _, o := range slices.Clone(r.byAddress[s.address]) {
+		if o.member.Started < last.member.Started {
+			r.drop(o)
 		}
 	}
-	return gone
+}
+
+// note has the pools hear of a server: those it belongs to now, and those it has left.
+func (r *Reducer) note(s *server, was brain.Readiness) {
+	before := s.pools
+	s.pools = 0
+	if s.member.State != brain.Gone {
+		s.pools = r.mask(&s.member)
+	}
+	if was == brain.Ready {
+		r.ready--
+	}
+	if s.member.State == brain.Ready {
+		r.ready++
+	}
+	for i, p := range r.pools {
+		if p == nil || (before|s.pools)&(1<<i) == 0 {
+			continue
+		}
+		m := s.member
+		if s.pools&(1<<i) == 0 {
+			m.State = brain.Gone
+		}
+		p.changes = append(p.changes, m)
+	}
+}
+
+// zoneBit gives each zone a bit of its own, the first 62 of them.
+func (r *Reducer) zoneBit(zone string) uint64 {
+	bit, ok := r.zoneBits[zone]
+	if !ok && len(r.zoneBits) < 62 {
+		bit = 1 << len(r.zoneBits)
+		r.zoneBits[zone] = bit
+	}
+	return bit
 }
 
 // drop takes a server out of the state for good; on a long day most of those ever listed are gone.
 func (r *Reducer) drop(s *server) {
-	s.gone = true
+	was := s.member.State
+	s.gone, s.member.State = true, brain.Gone
+	r.note(s, was)
+	r.leaveAddress(s)
 	delete(r.servers, s.id)
-	r.ordered = slices.DeleteFunc(r.ordered, func(o *server) bool { return o == s })
+	last := r.ordered[len(r.ordered)-1]
+	r.ordered[s.at], last.at = last, s.at
+	r.ordered[len(r.ordered)-1] = nil
+	r.ordered = r.ordered[:len(r.ordered)-1]
 	r.doom(s)
 }
 
+func (r *Reducer) leaveAddress(s *server) {
+	at := r.byAddress[s.address]
+	if i := slices.Index(at, s); i >= 0 {
+		if at = slices.Delete(at, i, i+1); len(at) == 0 {
+			delete(r.byAddress, s.address)
+		} else {
+			r.byAddress[s.address] = at
+		}
+	}
+}
+
 // doom closes what is open to a server, busy connections and dials at their end.
 func (r *Reducer) doom(s *server) {
 	for len(s.idle) > 0 {
--- a/internal/reducer/flow_test.go
+++ b/internal/reducer/flow_test.go
@@ -150,8 +150,8 @@
 // The deadline holds for the last byte, and nobody is blamed; the time that is told of is the one to the commit.
 func TestAFlowEndsAtItsDeadline(t *testing.T) {
 	w := newWorld(t, 4, "a:1")
-	l := &listener{Decider: w.r.node}
-	w.r.node = l
+	l := &listener{Decider: w.r.pools[0].node}
+	w.r.pools[0].node = l
 	id := w.call(0, 600*ms)
 	w.dialed(1, nil)
 	w.pass(100 * ms)
@@ -174,7 +174,7 @@
 		w.dialed(1, nil)
 		w.flows(1, Good)
 		w.listed(l)
-		w.do(Reloaded{"d:9"})
+		w.do(Reloaded{Discovery: "d:9"})
 		if w.conns[1] != flowing {
 			t.Fatalf("%+v: cut", l)
 		}
--- /dev/null
+++ b/internal/reducer/pools_test.go
@@ -0,0 +1,286 @@
+package reducer
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pewterrudder/brain"
+
+	"pgregory.net/rapid"
+)
+
+// viewer is a decider that sends each call to a server of its own view, and keeps that view as the updates tell it.
+type viewer struct {
+	t     interface{ Fatalf(string, ...any) }
+	view  map[string]brain.Member
+	names []string // as they came, some of them gone
+	most  int      // entries in one update
+	sends map[string]string
+}
+
+func (v *viewer) Handle(_ time.Duration, ev brain.Event, acts []brain.Action) []brain.Action {
+	switch e := ev.(type) {
+	case *brain.FleetUpdate:
+		v.most = max(v.most, len(e.Members))
+		for _, m := range e.Members {
+			if m.State == brain.Gone {
+				if _, ok := v.view[m.Server]; !ok {
+					v.t.Fatalf("%s is told to be gone and was never there", m.Server)
+				}
+				delete(v.view, m.Server)
+				continue
+			}
+			if _, ok := v.view[m.Server]; !ok {
+				v.names = append(v.names, m.Server)
+			}
+			v.view[m.Server] = m
+		}
+	case *brain.Request:
+		for len(v.names) > 0 {
+			if _, ok := v.view[v.names[len(v.names)-1]]; ok {
+				break
+			}
+			v.names = v.names[:len(v.names)-1]
+		}
+		if len(v.names) == 0 {
+			return append(acts, brain.Action{Kind: brain.Refuse, ID: e.ID})
+		}
+		v.sends[e.ID] = v.names[len(v.names)-1]
+		return append(acts, brain.Action{Kind: brain.Send, ID: e.ID, Server: v.sends[e.ID]})
+	case *brain.AttemptEnded:
+		if !e.Final {
+			return append(acts, brain.Action{Kind: brain.Fail, ID: e.ID})
+		}
+	}
+	return acts
+}
+
+// yard is a world with pools whose deciders are viewers.
+func yard(t interface {
+	Fatalf(string, ...any)
+	Helper()
+}, l Layout) (*world, map[string]*viewer) {
+	w := &world{t: t, now: time.Hour, cfg: settings()}
+	w.start(100)
+	views := map[string]*viewer{}
+	r, err := newReducer(w.cfg, 100, l, func(pool string) brain.Decider {
+		views[pool] = &viewer{t: t, view: map[string]brain.Member{}, sends: map[string]string{}}
+		return views[pool]
+	})
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	w.r = r
+	w.do(Started{Discovery: "d:1"})
+	w.do(Reloaded{Discovery: "d:2"}) // opens a watch
+	return w, views
+}
+
+func inZone(zone string) func(*brain.Member) bool {
+	return func(m *brain.Member) bool { return m.Zone == zone }
+}
+
+// settle lets all that is due now happen.
+func (w *world) settle() { w.pass(0) }
+
+// Whatever lists come, whole or in part, large or small, one before the other has been worked through, and however the
+// pools are dealt meanwhile: in the end each pool sees just those app nodes that it should, as a plain map says, no
+// update is larger than a slice, and calls go to members of their pool alone.
+func TestPoolsSeeWhatTheListsSay(t *testing.T) {
+	if checks := flag.Lookup("rapid.checks"); checks.Value.String() == "2000" { // each is long: hundreds of entries at a time
+		flag.Set("rapid.checks", "100")
+		defer flag.Set("rapid.checks", "2000")
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		layouts := []Layout{
+			{Pools: []PoolSpec{{Name: "a", Takes: inZone("a")}, {Name: "b", Takes: inZone("b")}}},
+			{Pools: []PoolSpec{{Name: "b", Takes: inZone("b")}, {Name: "all"}}},
+			{Pools: []PoolSpec{{Name: "all"}, {Name: "none", Takes: inZone("nowhere")}}},
+		}
+		for i := range layouts {
+			layouts[i].Route = func(c *Call) int { return int(c.ID) % 2 }
+		}
+		in := layouts[0]
+		w, views := yard(t, in)
+		truth := map[string]brain.Member{}
+		t.Repeat(map[string]func(*rapid.T){
+			"list": func(t *rapid.T) {
+				complete := rapid.IntRange(0, 2).Draw(t, "complete") == 0
+				if complete {
+					clear(truth)
+				}
+				l := List{Complete: complete, Revision: 1}
+				for range rapid.SampledFrom([]int{0, 1, 3, 250, 900}).Draw(t, "entries") {
+					i := rapid.IntRange(0, 400).Draw(t, "server")
+					m := brain.Member{Server: fmt.Sprint("s", i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Weight: 1,
+						State: rapid.SampledFrom([]brain.Readiness{brain.Ready, brain.Ready, brain.Draining, brain.Gone}).Draw(t, "state")}
+					if truth[m.Server] = m; m.State == brain.Gone {
+						delete(truth, m.Server)
+					}
+					l.Members, l.Addresses = append(l.Members, m), append(l.Addresses, fmt.Sprint("n", i, ":1"))
+				}
+				w.listed(l)
+			},
+			"deal": func(t *rapid.T) {
+				in = rapid.SampledFrom(layouts).Draw(t, "layout")
+				w.do(Reloaded{Discovery: "d:2", Layout: &in})
+			},
+			"call": func(t *rapid.T) {
+				id := w.call(0, 600*ms)
+				if c := w.r.calls[id]; c != nil && len(c.delegations) == 1 && c.delegations[0].srv != nil && c.delegations[0].srv.pools&(1<<c.pool.index) == 0 {
+					t.Fatalf("a call of pool %s went to %s", c.pool.Name, c.delegations[0].server)
+				}
+			},
+			"end": func(t *rapid.T) {
+				for _, d := range w.in(dialing) {
+					w.dialed(d, nil)
+				}
+				for _, b := range w.in(busy) {
+					w.exchanged(good(b))
+				}
+			},
+			"settle": func(t *rapid.T) { w.settle() },
+			"time":   func(t *rapid.T) { w.pass(time.Second) },
+		})
+		w.pass(2 * time.Second)
+		for _, p := range in.Pools {
+			want := map[string]brain.Member{}
+			for name, m := range truth {
+				m.Bit = w.r.zoneBit(m.Zone)
+				if p.Takes == nil || p.Takes(&m) {
+					want[name] = m
+				}
+			}
+			if v := views[p.Name]; !maps.Equal(v.view, want) {
+				t.Fatalf("pool %s sees %d servers, not %d", p.Name, len(v.view), len(want))
+			}
+		}
+		for name, v := range views {
+			if v.most > walkMost {
+				t.Errorf("pool %s was told of %d at once", name, v.most)
+			}
+		}
+		if live := len(in.Pools); len(w.r.feeds) != 0 || len(slices.DeleteFunc(slices.Clone(w.r.pools), func(p *pool) bool { return p == nil })) != live {
+			t.Errorf("%d feeds left, %d pools for %d wanted", len(w.r.feeds), len(w.r.pools), live)
+		}
+		if len(w.r.servers) != len(truth) || len(w.r.ordered) != len(truth) {
+			t.Errorf("%d and %d servers, not %d", len(w.r.servers), len(w.r.ordered), len(truth))
+		}
+		for i, s := range w.r.ordered {
+			if s.at != i {
+				t.Fatalf("%s stands at %d, not %d", s.id, i, s.at)
+			}
+		}
+	})
+}
+
+// A route moves to another pool with calls in flight: they end where they began, and the pool that nobody wants any more
+// goes with its last call.
+func TestARouteMovesWithCallsInFlight(t *testing.T) {
+	two := Layout{Pools: []PoolSpec{{Name: "old", Takes: inZone("a")}, {Name: "new", Takes: inZone("b")}}}
+	w, views := yard(t, two)
+	w.listed(List{Complete: true, Revision: 1, Addresses: []string{"a:1", "b:1"},
+		Members: []brain.Member{{Server: "sa", Zone: "a", Weight: 1}, {Server: "sb", Zone: "b", Weight: 1}}})
+	first := w.call(0, 600*ms)
+	w.dialed(1, nil)
+	one := Layout{Pools: two.Pools[1:]}
+	w.do(Reloaded{Discovery: "d:2", Layout: &one})
+	second := w.call(0, 600*ms)
+	w.dialed(2, nil)
+	if views["old"].sends["1"] != "sa" || views["new"].sends["2"] != "sb" || len(views["old"].view) != 0 {
+		t.Fatalf("%+v %+v, the old pool sees %v", views["old"].sends, views["new"].sends, views["old"].view)
+	}
+	if names, _, open := w.r.Pools(); !slices.Equal(names, []string{"new"}) || open[0] != 1 || len(w.r.pools) != 2 || w.r.pools[0] == nil {
+		t.Errorf("%v %v %v", names, open, w.r.pools)
+	}
+	w.exchanged(good(1))
+	w.exchanged(good(2))
+	if a, b := w.calls[first].reply.Kind, w.calls[second].reply.Kind; a != Served || b != Served || w.r.pools[0] != nil || w.r.Open() != 0 {
+		t.Errorf("%v, %v, the old pool is %v", a, b, w.r.pools[0])
+	}
+	w.do(Reloaded{Discovery: "d:2", Layout: &Layout{Pools: []PoolSpec{{Name: "x"}, {Name: "x"}}}})
+	if !w.has(func(e Effect) bool { l, ok := e.(Log); return ok && strings.Contains(l.Text, `"x"`) }) || len(w.r.targets) != 1 {
+		t.Errorf("a bad layout: %+v", w.took)
+	}
+}
+
+// A pool that loses its last member refuses its own calls and takes nothing from the other, until one comes back.
+func TestAPoolLosesItsLastMember(t *testing.T) {
+	w, _ := yard(t, Layout{Pools: []PoolSpec{{Name: "a", Takes: inZone("a")}, {Name: "b", Takes: inZone("b")}},
+		Route: func(c *Call) int { return c.Class }})
+	member := func(state brain.Readiness) List {
+		return List{Revision: 2, Addresses: []string{"a:1"}, Members: []brain.Member{{Server: "sa", Zone: "a", Weight: 1, State: state}}}
+	}
+	w.listed(member(brain.Ready))
+	w.listed(List{Revision: 2, Addresses: []string{"b:1"}, Members: []brain.Member{{Server: "sb", Zone: "b", Weight: 1}}})
+	w.listed(member(brain.Gone))
+	for class, want := range []Kind{Refused, Served} {
+		id := w.call(class, 600*ms)
+		for _, d := range w.in(dialing) {
+			w.dialed(d, nil)
+			w.exchanged(good(d))
+		}
+		if got := w.calls[id].reply.Kind; got != want || w.calls[id].answers != 1 {
+			t.Errorf("class %d: %v, want %v", class, got, want)
+		}
+	}
+	w.listed(member(brain.Ready))
+	if id := w.call(0, 600*ms); w.calls[id].answers != 0 || len(w.in(dialing)) != 1 {
+		t.Error("the member that came back gets no work")
+	}
+}
+
+// Past its cap a pool refuses at once, and says when to come back; what ends makes room.
+func TestAPoolThatIsFullRefuses(t *testing.T) {
+	w, _ := yard(t, Layout{Pools: []PoolSpec{{Name: "small", MaxOpen: 2}, {Name: "other"}}, Route: func(c *Call) int { return c.Class }})
+	w.listed(list(true, brain.Ready, "a:1"))
+	first := w.call(0, 600*ms)
+	w.call(0, 600*ms)
+	third, other := w.call(0, 600*ms), w.call(1, 600*ms)
+	if c := w.calls[third]; c.reply.Kind != Refused || c.answers != 1 || c.reply.After == 0 || w.calls[other].answers != 0 {
+		t.Errorf("%+v, the other pool's %+v", c, w.calls[other])
+	}
+	w.gone(first)
+	w.dialed(1, nil)
+	if id := w.call(0, 600*ms); w.calls[id].answers != 0 {
+		t.Error("no room after one has gone")
+	}
+}
+
+// A list of ten thousand shrinks to three and grows again, while calls go on between the slices.
+func TestALargeListComesInSlices(t *testing.T) {
+	w, views := yard(t, onePool())
+	all := List{Complete: true, Revision: 1}
+	for i := range 10_000 {
+		all.Members = append(all.Members, brain.Member{Server: fmt.Sprint("s", i), Zone: "a", Weight: 1})
+		all.Addresses = append(all.Addresses, fmt.Sprint("n", i, ":1"))
+	}
+	for _, n := range []int{10_000, 3, 10_000} {
+		l := List{Complete: true, Revision: 1, Members: slices.Clone(all.Members[:n]), Addresses: all.Addresses[:n]}
+		w.listed(l)
+		events := 0
+		for len(w.r.feeds) > 0 {
+			events++
+			w.timers = slices.DeleteFunc(w.timers, func(d due) bool { _, ok := d.ev.(more); return ok })
+			w.do(more{})
+			id := w.call(0, 600*ms) // its turn comes between
+			for _, d := range w.in(dialing) {
+				w.dialed(d, nil)
+			}
+			for _, b := range w.in(busy) {
+				w.exchanged(good(b))
+			}
+			if c := w.calls[id]; c.reply.Kind != Served || c.answers != 1 {
+				t.Fatalf("while the list is entered: %+v", c)
+			}
+		}
+		if v := views["all"]; len(v.view) != n || events < 4 || v.most > walkMost {
+			t.Errorf("%d of %d seen after %d events, %d at once", len(v.view), n, events, v.most)
+		}
+	}
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -11,12 +11,15 @@
 // more. Until the flow has ended the call is open and the app node counts as busy with it.
 //
 // What calls and answers look like on a wire is not known here: they pass as Message, which is never looked at.
-// calls.go, delegations.go, connections.go and fleet.go hold one kind of state each.
+// calls.go, delegations.go, connections.go, fleet.go and pools.go hold one kind of state each. The work for an event does
+// not grow with the fleet, nor with the calls that are open: a list is worked through in slices, an event for each.
 package reducer
 
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pewterrudder/brain"
 	"pewterrudder/internal/patience"
 )
@@ -90,8 +93,11 @@
 		Known     List
 		Discovery string
 	}
-	// Reloaded: a new configuration is in force.
-	Reloaded struct{ Discovery string }
+	// Reloaded: a new configuration is in force. Without a layout the one there is stays.
+	Reloaded struct {
+		Discovery string
+		Layout    *Layout
+	}
 	// Arrived: a call was read whole.
 	Arrived struct{ Call *Call }
 	// ClientGone: the client's connection ended before the answer.
@@ -133,10 +139,14 @@
 		Err   error
 	}
 
-	timer    struct{ cookie uint64 }
+	timer struct {
+		pool   *pool
+		cookie uint64
+	}
 	deadline struct{ call uint64 }
 	sweep    struct{}
 	rewatch  struct{}
+	more     struct{}
 )
 
 // Written says how far a request came.
@@ -230,13 +240,18 @@
 	doomed    bool // the app node has moved: close at the end of the dial or call
 	delg      *delegation
 	idleSince time.Duration
+
+	older, newer *conn // among the idle ones of all servers
 }
 
 type server struct {
 	id, address string
-	started     time.Duration
-	gone        bool    // off the list and out of the state: only what is still out refers to it
-	idle        []*conn // latest used last
+	member      brain.Member // as last told of
+	pools       uint64       // that it belongs to
+	seen        uint64       // the latest list that named it
+	at          int          // in Reducer.ordered
+	gone        bool         // off the list and out of the state: only what is still out refers to it
+	idle        []*conn      // latest used last
 	conns       map[uint64]*conn
 }
 
@@ -254,6 +269,7 @@
 
 type call struct {
 	*Call
+	pool        *pool
 	deadline    time.Duration // of ours
 	brainID     string
 	delegations []*delegation
@@ -268,11 +284,15 @@
 // Reducer is the whole state. Make it with New.
 type Reducer struct {
 	cfg     brain.Settings
-	node    brain.Decider
+	decide  func(pool string) brain.Decider // makes the node of a new pool
 	now     time.Duration
 	out     []Effect
 	acts    []brain.Action
-	pending []brain.Event // for the node, from the actions just carried out
+	pending []word // for the nodes, from the actions just carried out
+
+	pools   []*pool // by their bits; nil: free
+	targets []*pool // of the routes
+	route   func(*Call) int
 
 	calls    map[uint64]*call
 	byBrain  map[string]*call
@@ -280,11 +300,20 @@
 	used     [2]map[string]struct{} // ids of calls that are over: of late, and before that
 	usedFrom time.Duration
 	servers  map[string]*server
-	ordered  []*server // the same in order of arrival, so that effects do not follow a map's order
+	ordered  []*server // the same, so that effects do not follow a map's order
 	conns    map[uint64]*conn
 	lastConn uint64
 	budget   int // connections to app nodes, all told
 
+	byAddress map[string][]*server
+	zoneBits  map[string]uint64
+	ready     int // servers
+	epoch     uint64
+	feeds     []*feed // the first is being worked through
+	touched   []*server
+	oldest    *conn // of the idle ones, which lead on to newer
+	newest    *conn
+
 	discovery         string
 	revision          int64
 	watch             uint64 // the latest; what is heard of an earlier one is passed over
@@ -298,25 +327,54 @@
 
 // New makes the state of a balancer that may hold budget connections to app nodes.
 func New(cfg brain.Settings, seed uint64, budget int) (*Reducer, error) {
-	node, err := brain.New(cfg, seed)
-	if err != nil {
+	return NewLaid(cfg, seed, budget, onePool())
+}
+
+// NewLaid makes the state of a balancer with pools. Each has a node of its own, with the same settings and a seed that
+// follows from its name; only the first asks for the list, which is the same for all.
+func NewLaid(cfg brain.Settings, seed uint64, budget int, l Layout) (*Reducer, error) {
+	if _, err := brain.New(cfg, seed); err != nil {
 		return nil, err
 	}
-	return NewWith(cfg, node, budget), nil
+	first := true
+	return newReducer(cfg, budget, l, func(pool string) brain.Decider {
+		own, s := cfg, seed
+		if !first {
+			own.AskDiscovery = false
+			s ^= xxhash.Sum64String(pool)
+		}
+		first = false
+		node, err := brain.New(own, s)
+		if err != nil {
+			panic(err) // the same settings were good a moment ago
+		}
+		return node
+	})
 }
 
 // NewWith makes the state around a decider that is not the module.
 func NewWith(cfg brain.Settings, node brain.Decider, budget int) *Reducer {
-	r := &Reducer{cfg: cfg, node: node, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
+	r, err := newReducer(cfg, budget, onePool(), func(string) brain.Decider { return node })
+	if err != nil {
+		panic(err) // one pool is a layout
+	}
+	return r
+}
+
+func newReducer(cfg brain.Settings, budget int, l Layout, decide func(string) brain.Decider) (*Reducer, error) {
+	r := &Reducer{cfg: cfg, decide: decide, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
-		servers: map[string]*server{}, conns: map[uint64]*conn{}}
+		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{}}
+	if err := r.lay(l); err != nil {
+		return nil, err
+	}
 	for i := range cfg.Classes {
 		c := &cfg.Classes[i]
 		part := func(of time.Duration, share float64) time.Duration { return time.Duration(share * float64(of)) }
 		most := part(c.Deadline, stallMost)
 		r.stalls = append(r.stalls, patience.New(min(part(c.Aim, stallFirst), most), min(part(c.Aim, stallLeast), most), most))
 	}
-	return r
+	return r, nil
 }
 
 // FixStall sets how long an answer that stops in its middle is waited for, in place of what would be learned. It
@@ -348,6 +406,13 @@
 			r.discovery, r.revision = e.Discovery, 0
 			r.openWatch()
 		}
+		if e.Layout != nil {
+			if err := r.lay(*e.Layout); err != nil {
+				r.emit(Log{"pools: " + err.Error() + "; the old ones stay"})
+			} else {
+				r.enqueue(&feed{deal: true})
+			}
+		}
 	case Arrived:
 		r.onArrived(e.Call)
 	case ClientGone:
@@ -366,7 +431,11 @@
 		}
 	case Listed:
 		if e.Watch == r.watch {
-			r.onListed(e.List)
+			kind := brain.UpdateChanges
+			if e.List.Complete {
+				kind = brain.UpdateFull
+			}
+			r.onList(e.List, kind)
 		}
 	case WatchEnded:
 		if e.Watch != r.watch {
@@ -375,12 +444,16 @@
 		r.watching = false
 		r.emit(Log{"registry: watch ended: " + e.Err.Error()})
 		if r.cfg.AskDiscovery {
-			r.tell(&brain.FleetUpdate{Kind: brain.UpdateAskFailed})
+			for _, p := range r.pools {
+				if p != nil {
+					r.tell(p, &brain.FleetUpdate{Kind: brain.UpdateAskFailed})
+				}
+			}
 		} else {
 			r.emit(Arm{watchAgain, rewatch{}})
 		}
 	case timer:
-		r.tell(&brain.TimerFired{Cookie: e.cookie})
+		r.tell(e.pool, &brain.TimerFired{Cookie: e.cookie})
 	case deadline:
 		r.onDeadline(e.call)
 	case sweep:
@@ -389,6 +462,10 @@
 		if !r.watching {
 			r.openWatch()
 		}
+	case more:
+		if len(r.feeds) > 0 {
+			r.feedOn()
+		}
 	}
 	effects, r.out = r.out, nil
 	return effects
@@ -396,23 +473,31 @@
 
 func (r *Reducer) emit(e Effect) { r.out = append(r.out, e) }
 
-// tell hands the node an event, carries out what it asks for, and goes on with what that brings about.
-func (r *Reducer) tell(ev brain.Event) {
-	r.pending = append(r.pending, ev)
+// word is an event for the node of a pool.
+type word struct {
+	pool *pool
+	ev   brain.Event
+}
+
+// tell hands the node of a pool an event, carries out what it asks for, and goes on with what that brings about.
+func (r *Reducer) tell(p *pool, ev brain.Event) {
+	r.pending = append(r.pending, word{p, ev})
 	if len(r.pending) > 1 {
 		return // the loop below, further up the stack, takes it in turn
 	}
 	for i := 0; i < len(r.pending); i++ {
-		acts := r.node.Handle(r.now, r.pending[i], r.acts[:0])
+		w := r.pending[i]
+		acts := w.pool.node.Handle(r.now, w.ev, r.acts[:0])
 		r.acts = acts
 		for j := range acts {
-			r.act(&acts[j])
+			r.act(w.pool, &acts[j])
 		}
 	}
+	clear(r.pending)
 	r.pending = r.pending[:0]
 }
 
-func (r *Reducer) act(a *brain.Action) {
+func (r *Reducer) act(p *pool, a *brain.Action) {
 	switch a.Kind {
 	case brain.Send:
 		r.send(r.byBrain[a.ID], a)
@@ -428,7 +513,7 @@
 	case brain.Fail:
 		r.answer(r.byBrain[a.ID], Reply{Kind: Failed})
 	case brain.SetTimer:
-		r.emit(Arm{a.After, timer{a.Cookie}})
+		r.emit(Arm{a.After, timer{p, a.Cookie}})
 	case brain.CloseIdle:
 		if s := r.servers[a.Server]; s != nil {
 			for len(s.idle) > 0 {
@@ -442,7 +527,7 @@
 	case brain.Note:
 		r.emit(Log{"node: " + a.Text})
 	case brain.Probe: // no platform of ours permits it; the settings keep the node from asking
-		r.tell(&brain.ProbeEnded{Server: a.Server, Outcome: brain.NeverSent})
+		r.tell(p, &brain.ProbeEnded{Server: a.Server, Outcome: brain.NeverSent})
 	}
 }
 
@@ -460,6 +545,7 @@
 func (deadline) event()   {}
 func (sweep) event()      {}
 func (rewatch) event()    {}
+func (more) event()       {}
 
 func (Answer) effect()   {}
 func (Dial) effect()     {}
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -364,7 +364,7 @@
 				w.listed(list(rapid.Bool().Draw(t, "complete"), state,
 					rapid.SampledFrom([]string{"a:1", "a:2", ""}).Draw(t, "address")))
 				w.do(WatchEnded{w.r.watch, errDown})
-				w.do(Reloaded{rapid.SampledFrom([]string{"d:1", "d:2"}).Draw(t, "discovery")})
+				w.do(Reloaded{Discovery: rapid.SampledFrom([]string{"d:1", "d:2"}).Draw(t, "discovery")})
 			},
 			"time": func(t *rapid.T) {
 				w.pass(time.Duration(rapid.SampledFrom([]int{1, 10, 100, 1500}).Draw(t, "ms")) * ms)
@@ -504,7 +504,7 @@
 func TestTheReducerAnswersForASilentNode(t *testing.T) {
 	w := newWorld(t, 4) // no server: the node holds the call
 	id := w.call(0, 140*ms)
-	w.r.tell(&brain.ClientGone{ID: w.r.calls[id].brainID}) // and now it has forgotten it
+	w.r.tell(w.r.pools[0], &brain.ClientGone{ID: w.r.calls[id].brainID}) // and now it has forgotten it
 	w.pass(140 * ms)
 	if c := w.calls[id]; c.answers != 1 || c.reply.Kind != Refused || w.r.Open() != 0 {
 		t.Errorf("%+v, %d calls open", c, w.r.Open())
@@ -525,11 +525,11 @@
 	w := newWorld(t, 4, "a:1")
 	w.pass(2 * time.Second) // the node's first ask
 	old := w.r.watch
-	if got := watches(w.do(Reloaded{"d:1"})); old == 0 || len(got) != 0 {
+	if got := watches(w.do(Reloaded{Discovery: "d:1"})); old == 0 || len(got) != 0 {
 		t.Fatalf("the same address again: %+v", got)
 	}
 	w.do(WatchEnded{old, errDown}) // the node pauses
-	got := watches(w.do(Reloaded{"d:2"}))
+	got := watches(w.do(Reloaded{Discovery: "d:2"}))
 	if len(got) != 1 || got[0].Discovery != "d:2" || got[0].Since != 0 || got[0].ID == old {
 		t.Fatalf("%+v", got)
 	}
