--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -11,7 +11,8 @@
 )
 
 var commands struct {
-	Flow flow `cmd:"" help:"Measure answers that flow, on real processes."`
+	Flow  flow         `cmd:"" help:"Measure answers that flow, on real processes."`
+	Paper paperCommand `cmd:"" help:"The experiments of the paper on bursts, beside its figures."`
 }
 
 func main() {
