--- a/internal/lab/paper/paper_test.go
+++ b/internal/lab/paper/paper_test.go
@@ -172,7 +172,7 @@
 }
 
 func TestBudgets(t *testing.T) {
-	for _, b := range []Budget{{Seeds: 1, Jobs: 1000}, {Seeds: 2, Jobs: 10}, {Seeds: 2, Jobs: 1000, Tables: []int{4}},
+	for _, b := range []Budget{{Seeds: 1, Jobs: 1000}, {Seeds: 2, Jobs: 10}, {Seeds: 2, Jobs: 1000, Tables: []int{1, 4}},
 		{Seeds: 2, Jobs: 1000, Rows: "no such row"}} {
 		if _, err := Run(b, nil); err == nil {
 			t.Errorf("%+v is taken", b)
