--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -1,23 +1,92 @@
 // Command rudderlab is the laboratory: it measures the balancer's program and plays its worlds. This file is the table
-// of its commands, one group to a file; what they do is owned by the packages under internal/lab.
+// of its commands, one group to a file; what they do is owned by the packages under internal/lab. It ends with 0 where
+// all is fine, with 1 where a rule or a bound is broken or a measurement failed, and with 2 for wrong use.
 package main
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
+	"io/fs"
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"pewterrudder/internal/lab/scenario"
 )
 
-var commands struct {
-	Flow flow `cmd:"" help:"Measure answers that flow, on real processes."`
+type commands struct {
+	Run     runCommand     `cmd:"" help:"Play a scenario."`
+	Compare compareCommand `cmd:"" help:"Play a scenario under several policies, over the same seeds."`
+	Sweep   sweepCommand   `cmd:"" help:"Play a scenario with some of its keys varied."`
+	Report  reportCommand  `cmd:"" help:"Make page and tables anew from the records of a folder."`
+	List    listCommand    `cmd:"" help:"List the scenarios, policies or kinds of faults."`
+	Check   checkCommand   `cmd:"" help:"Check scenario files."`
+
+	Swarm   swarmCommand   `cmd:"" help:"Play days that are drawn at random, and look for broken rules."`
+	Replay  replayCommand  `cmd:"" help:"Play the run of a replay file again."`
+	Shrink  shrinkCommand  `cmd:"" help:"Make the run of a replay file smaller while it breaks in the same way."`
+	Planted plantedCommand `cmd:"" help:"Build the balancer with faults planted, and see that the swarm catches each."`
+
+	Theory theoryCommand `cmd:"" help:"Hold the model of app nodes against queueing theory."`
+	Flow   flow          `cmd:"" help:"Measure answers that flow, on real processes."`
+
+	Completion completionCommand `cmd:"" help:"Print what makes a shell complete these commands."`
+	Complete   completeCommand   `cmd:"" hidden:"" passthrough:"" help:"Print what may come next on a line."`
+}
+
+const (
+	broken = 1 // exit status: a rule or a bound is broken, or a measurement failed
+	misuse = 2
+)
+
+// brokenError says what was broken; its text has been shown already where it is empty.
+type brokenError string
+
+func (b brokenError) Error() string { return string(b) }
+
+// misuseError is wrong use that the parser cannot see.
+type misuseError struct{ error }
+
+// status of an error.
+func status(err error) int {
+	var flaw *scenario.Flaw
+	var use misuseError
+	var parse *kong.ParseError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &flaw), errors.As(err, &use), errors.As(err, &parse), errors.Is(err, fs.ErrNotExist):
+		return misuse
+	}
+	return broken
+}
+
+func newParser(c *commands) *kong.Kong {
+	k, err := kong.New(c, kong.Name("rudderlab"), kong.Description("The laboratory of pewterrudder."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, NoExpandSubcommands: true}))
+	if err != nil {
+		panic(err) // a tag above is wrong
+	}
+	return k
 }
 
 func main() {
-	k := kong.Parse(&commands, kong.Name("rudderlab"), kong.Description("The laboratory of pewterrudder."),
-		kong.UsageOnError())
-	k.FatalIfErrorf(k.Run())
+	var c commands
+	k := newParser(&c)
+	ctx, err := k.Parse(os.Args[1:])
+	if err == nil {
+		err = ctx.Run()
+	}
+	if err != nil && err.Error() != "" {
+		fmt.Fprintln(os.Stderr, "rudderlab:", err)
+		var parse *kong.ParseError
+		if errors.As(err, &parse) {
+			fmt.Fprintln(os.Stderr, `Try "rudderlab --help", or a command with --help.`)
+		}
+	}
+	os.Exit(status(err))
 }
 
 // shown is a result that people read as a table.
@@ -29,7 +98,11 @@
 		result.Table(os.Stdout)
 		return nil
 	}
+	return writeJSON(result)
+}
+
+func writeJSON(v any) error {
 	e := json.NewEncoder(os.Stdout)
 	e.SetIndent("", "  ")
-	return e.Encode(result)
+	return e.Encode(v)
 }
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime"
 	"strconv"
 	"sync"
@@ -24,16 +25,15 @@
 	Scenario *scenario.Scenario
 	Policy   string
 	Seed     uint64
+	Log      io.Writer // for every event; nil: none
 }
 
 // Done is a run that was made.
 type Done struct {
 	result.Record
-	Broken  uint64         // rules broken, all told
-	Breaks  []oracle.Break // the first of them
-	Wishes  uint64
-	Logged  uint64 // lines that balancers have logged
-	Episode []*world.Episode
+	Broken uint64         // rules broken, all told
+	Breaks []oracle.Break // the first of them
+	Wishes uint64
 }
 
 // Progress hears of the share that is done, from any goroutine, one call at a time.
@@ -55,7 +55,8 @@
 func Virtual(job Job, share func(float64)) (*Done, error) {
 	sc := job.Scenario
 	g := &gatherer{sc: sc, to: result.NewRecorder(), share: share}
-	rec, err := virtual.Run(sc, virtual.Options{Seed: job.Seed, Recorder: g, Sample: sampleEvery(sc), Policy: Policy(job.Policy)})
+	rec, err := virtual.Run(sc, virtual.Options{Seed: job.Seed, Recorder: g, Sample: sampleEvery(sc),
+		Policy: Policy(job.Policy), Log: job.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +64,7 @@
 		g.to.Fault(e.Kind, target(sc, e), e.From-world.Lead, e.To-world.Lead)
 	}
 	c := &rec.Counts
-	d := &Done{Broken: rec.Broken, Breaks: rec.Breaks, Wishes: c.Wishes, Logged: rec.Logged, Episode: rec.Episodes}
+	d := &Done{Broken: rec.Broken, Breaks: rec.Breaks, Wishes: c.Wishes}
 	d.Record = g.to.Record(result.Run{Scenario: sc.Name, Seed: job.Seed, Policy: job.Policy, On: "virtual",
 		Digest: fmt.Sprintf("%016x", rec.Digest), Duplicated: int64(c.Duplicated), DrainBreaks: int64(c.DrainBreaks),
 		ColdBreaks: int64(c.ColdBreaks), Leaked: int64(c.Leaked), PeakPressure: c.Peak, Speedup: rec.Speedup})
--- a/internal/lab/run/run_test.go
+++ b/internal/lab/run/run_test.go
@@ -22,7 +22,7 @@
 func jobs(sc *scenario.Scenario, policies ...string) (all []Job) {
 	for _, p := range policies {
 		for seed := uint64(1); seed <= 4; seed++ {
-			all = append(all, Job{sc, p, seed})
+			all = append(all, Job{Scenario: sc, Policy: p, Seed: seed})
 		}
 	}
 	return all
@@ -61,7 +61,7 @@
 // What the recorder made of a run agrees with what the oracle counted, and with itself.
 func TestARecordAgreesWithTheOracle(t *testing.T) {
 	sc := load(t, "flash-crowd", "length=15s", "clients.impatient=0.05")
-	done, err := All([]Job{{sc, "ours", 3}}, nil)
+	done, err := All([]Job{{Scenario: sc, Policy: "ours", Seed: 3}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,7 +114,7 @@
 }
 
 func TestAnUnknownPolicyIsNamed(t *testing.T) {
-	if _, err := All([]Job{{load(t, "calm"), "luck", 1}}, nil); err == nil {
+	if _, err := All([]Job{{Scenario: load(t, "calm"), Policy: "luck"}}, nil); err == nil {
 		t.Error("no error")
 	}
 }
