--- a/internal/lab/planted/faults.go
+++ b/internal/lab/planted/faults.go
@@ -21,36 +21,10 @@
 		Old:   `if c.Repeat == Unsafe || n.now-a.sent > c.Window-answerMargin {`,
 		New:   `if c.Repeat == Unsafe {`,
 		Rules: []string{"effects"}},
-	{Name: "used-after-its-end", About: "a connection that its app node has closed stays among the idle ones", File: "internal/reducer/reducer.go",
-		Old: `			r.close(c) // a busy one ends with its Exchanged
-`,
-		New:   "",
-		Rules: []string{"leaks", "answers", "effects"}},
 	{Name: "drain-ignored", About: "app nodes that drain are sent requests like all others", File: "brain/brain.go",
 		Old:   `	s.Member = *m` + "\n" + `	s.listed = n.epoch`,
 		New:   `	s.Member = *m` + "\n" + `	if s.State == Draining {` + "\n" + `		s.State = Ready` + "\n" + `	}` + "\n" + `	s.listed = n.epoch`,
 		Rules: []string{"drains"}},
-	{Name: "call-kept", About: "a call whose client has left is never forgotten", File: "internal/reducer/calls.go",
-		Old: `		r.end(d, brain.Cancelled, nil)
-	}
-	r.settle(c)
-	r.forget(c)
-}
-
-// onDeadline`,
-		New: `		r.end(d, brain.Cancelled, nil)
-	}
-	r.settle(c)
-}
-
-// onDeadline`,
-		Rules: []string{"leaks"}},
-	{Name: "timer-kept", About: "the sweep of idle connections is armed anew at each that comes", File: "internal/reducer/connections.go",
-		Old: `	if !r.sweeping {
-		r.sweeping = true`,
-		New: `	{
-		r.sweeping = true`,
-		Rules: []string{"leaks"}},
 	{Name: "cold-limit-ignored", About: "a cold app node gets what a warm one gets", File: "brain/brain.go",
 		Old:   `	return s.cold >= 1`,
 		New:   `	return true`,
@@ -59,21 +33,11 @@
 		Old:   `		r.answer(c, Reply{Kind: Served, Message: e.Message})`,
 		New:   `		if o := r.calls[c.ID-1]; o != nil && !o.over() {` + "\n" + `			r.answer(o, Reply{Kind: Served, Message: e.Message})` + "\n" + `		}` + "\n" + `		r.answer(c, Reply{Kind: Served, Message: e.Message})`,
 		Rules: []string{"answers"}},
-	{Name: "no-answer-at-the-deadline", About: "a call that the module still holds gets none", File: "internal/reducer/calls.go",
-		Old: `		r.answer(c, r.unserved(c))
-		r.tell(&brain.ClientGone{ID: c.brainID})`,
-		New: `		c.done = true
-		r.tell(&brain.ClientGone{ID: c.brainID})`,
-		Rules: []string{"answers"}},
 	{Name: "deadline-unmarked", About: "no timer is armed for the deadline of a call", File: "internal/reducer/calls.go",
 		Old: `	r.emit(Arm{max(0, c.deadline-r.now), deadline{c.ID}})
 `,
 		New:   "",
 		Rules: []string{"answers"}},
-	{Name: "refused-after-it-ran", About: "what may have run is refused, as if a further try were harmless", File: "brain/brain.go",
-		Old:   `	return c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll || !r.mayHaveRun()`,
-		New:   `	return true`,
-		Rules: []string{"effects"}},
 	{Name: "unsafe-repeated", About: "an attempt that broke after its last byte counts as never sent", File: "internal/reducer/delegations.go",
 		Old: `	case none:
 		r.end(d, brain.Dropped, nil)`,
@@ -85,14 +49,47 @@
 	r.doom(s)`,
 		New:   `	r.ordered = slices.DeleteFunc(r.ordered, func(o *server) bool { return o == s })`,
 		Rules: []string{"leaks"}},
-	{Name: "flow-left", About: "an answer that flows to a client who has left goes on", File: "internal/reducer/calls.go",
-		Old: `	if d := c.flow; d != nil && !d.over {
-		r.abandon(d)`,
-		New: `	if d := c.flow; d != nil && !d.over && d.begun < 0 {
-		r.abandon(d)`,
-		Rules: []string{"leaks"}},
 	{Name: "body-sent-twice", About: "an upload whose body is gone is sent again", File: "internal/reducer/delegations.go",
 		Old:   `	if c.OneShot && slices.ContainsFunc(`,
 		New:   `	if c.OneShot && len(c.delegations) > 9 && slices.ContainsFunc(`,
 		Rules: []string{"sound"}},
+	{Name: "used-after-its-end", About: "a connection that its app node has closed is given back, and stays among the idle ones",
+		File: "internal/reducer/reducer.go",
+		Old: `			r.close(c) // a busy one ends with its Exchanged
+`,
+		New: `			delete(r.conns, c.id)
+			r.emit(Close{c.id})
+`,
+		Rules: []string{"sound"}},
+	{Name: "used-while-busy", About: "a connection whose answer was given up carries the next call", File: "internal/reducer/delegations.go",
+		Old: `		if k.state == busy || k.state == flowing {
+			r.close(k)`,
+		New: `		if k.state == busy || k.state == flowing {
+			r.rest(k)`,
+		Rules: []string{"answers", "effects", "sound"}},
+	{Name: "call-kept", About: "a call with more than one attempt is never forgotten", File: "internal/reducer/calls.go",
+		Old:   `	if c.done && c.out == 0 {`,
+		New:   `	if c.done && c.out == 0 && len(c.delegations) < 2 {`,
+		Rules: []string{"leaks"}},
+	{Name: "timer-kept", About: "the deadline of a call that is over is armed anew", File: "internal/reducer/calls.go",
+		Old: `	c := r.calls[id]
+	if c == nil {
+		return`,
+		New: `	c := r.calls[id]
+	if c == nil {
+		r.emit(Arm{sweepEvery, deadline{id}})
+		return`,
+		Rules: []string{"leaks"}},
+	{Name: "no-answer-at-the-deadline", About: "a call whose deadline comes counts as answered", File: "internal/reducer/calls.go",
+		Old:   `	c.done = c.done || c.flow != nil`,
+		New:   `	c.done = true`,
+		Rules: []string{"answers"}},
+	{Name: "refused-after-it-ran", About: "keyed classes are refused as if all app nodes dropped their repeats", File: "brain/brain.go",
+		Old:   `	return c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll || !r.mayHaveRun()`,
+		New:   `	return c.Repeat == Safe || c.Repeat == Keyed || !r.mayHaveRun()`,
+		Rules: []string{"effects"}},
+	{Name: "out-counts-as-never-run", About: "an attempt that is still out does not bar a refusal", File: "brain/brain.go",
+		Old:   `func(a attempt) bool { return !a.over || a.ran })`,
+		New:   `func(a attempt) bool { return a.ran })`,
+		Rules: []string{"effects"}},
 }
