--- a/cmd/rudderlab/scale.go
+++ b/cmd/rudderlab/scale.go
@@ -7,12 +7,17 @@
 	Sizes []int `default:"10,100,1000,10000" help:"Numbers of app nodes."`
 }
 
-func (s *scaleCommand) Run() error {
-	b := scale.Full
-	b.Sizes = s.Sizes
-	r, err := scale.Run(b, nil)
+func (c *scaleCommand) Run() error {
+	budget := scale.Full
+	budget.Sizes = c.Sizes
+	if err := budget.Check(); err != nil {
+		return misuseError{err}
+	}
+	b := newBar()
+	r, err := scale.Run(budget, b.show)
+	b.clear()
 	if err != nil {
 		return err
 	}
-	return show(r, s.JSON)
+	return show(r, c.JSON)
 }
