--- a/brain/brain.go
+++ b/brain/brain.go
@@ -345,14 +345,14 @@
 
 const cookieAsk, cookieParked, cookieOverdue = 1, 2, 3
 
-// followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread
-// by the seed, and each failure doubles the pause before the next.
+// followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread by the
+// seed; a failure has a pause follow, once doubled, 3 s at most: what it misses counts as told after 6 s.
 func (n *Node) followDiscovery(k UpdateKind) {
 	switch {
 	case k == UpdateRestored:
 		n.armAsk(time.Duration(n.rng.Float64() * float64(min(n.cfg.Rules.AskEvery/8, time.Second))))
 	case k == UpdateAskFailed:
-		pause := min(time.Second<<min(n.askFails, 4), max(n.cfg.Rules.AskEvery, time.Second))
+		pause := time.Second << min(n.askFails, 1)
 		n.askFails++
 		n.armAsk(pause/2 + time.Duration(n.rng.Float64()*float64(pause)))
 	default:
--- a/brain/failures_test.go
+++ b/brain/failures_test.go
@@ -568,3 +568,28 @@
 		t.Errorf("%+v, in flight %d and %d, %d requests", acts, s.inflight, s.by[read].inflight, len(b.node.reqs))
 	}
 }
+
+// However long discovery has been away, it is asked again within 3 s: what it has to tell counts as told soon after it is
+// back, and drains must hold from then. The pauses differ, so that not all nodes ask at once.
+func TestDiscoveryIsAskedAgainSoon(t *testing.T) {
+	cfg := testSettings()
+	cfg.AskDiscovery = true
+	cfg.Rules.AskEvery = 40 * time.Second
+	b := newBed(cfg, members(2))
+	b.do(&TimerFired{Cookie: cookieAsk})
+	seen := map[time.Duration]bool{}
+	for i := range 30 {
+		asks := only(b.do(&FleetUpdate{Kind: UpdateAskFailed}), SetTimer)
+		if len(asks) != 1 || asks[0].After < 500*ms || asks[0].After > 3*time.Second {
+			t.Fatalf("after failure %d: %+v", i, asks)
+		}
+		seen[asks[0].After] = true
+		b.now += asks[0].After
+		if subs := only(b.do(&TimerFired{Cookie: cookieAsk}), Subscribe); len(subs) != 1 {
+			t.Fatal("not asked")
+		}
+	}
+	if len(seen) < 25 {
+		t.Errorf("%d different pauses of 30", len(seen))
+	}
+}
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -10,8 +10,8 @@
 const (
 	// sliceMost bounds the entries of a list that one event works through, and walkMost the servers that one looks at:
 	// each keeps an event under a millisecond. What is left comes back as an event of its own, behind those that wait.
-	sliceMost = 200
-	walkMost  = 2000
+	sliceMost = 100
+	walkMost  = 1000
 )
 
 func (r *Reducer) openWatch() {
