--- a/brain/brain.go
+++ b/brain/brain.go
@@ -345,8 +345,8 @@
 
 const cookieAsk, cookieParked, cookieOverdue = 1, 2, 3
 
-// followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread by the
-// seed; a failure has a pause follow, once doubled, 3 s at most: what it misses counts as told after 6 s.
+// followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread by
+// the seed; after a failure comes a pause, 3 s at most, since what it misses counts as told after 6 s.
 func (n *Node) followDiscovery(k UpdateKind) {
 	switch {
 	case k == UpdateRestored:
