Ask the zones of a pool where a call may go, and tell them what comes of it

Need: zones weighed nothing but a price; a zone that went dark cost its calls a connect timeout each. Change: a pool may have zones. The reducer counts what a pool has in each, warming app nodes by their warmth, asks the zones for the bound of each call, and tells them of sends, ends and load reports; what failed for want of our own descriptors is not held against a zone. The lab's virtual mode takes a layout. Off unless a layout names zones.

--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pewterrudder/brain"
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/lab/oracle"
@@ -98,12 +100,43 @@
 			panic("virtual: " + err.Error())
 		}
 		_, _, budget := config.Limits{MemoryMB: 192, Sockets: r.sc.Balancers.Sockets}.Budget()
-		b.decider, b.red = decider, reducer.NewWith(cfg, decider, budget)
+		b.decider = decider
+		if r.opt.Layout == nil {
+			b.red = reducer.NewWith(cfg, decider, budget)
+		} else {
+			b.red = b.laid(cfg, seed, budget)
+		}
 		list := b.list(&known)
 		b.handle(reducer.Started{Known: list, Discovery: "discovery:0"})
 	}))
 }
 
+// laid makes the state with pools; the first of them has the decider that there is.
+func (b *balancer) laid(cfg brain.Settings, seed uint64, budget int) *reducer.Reducer {
+	layout, err := b.run.opt.Layout(cfg)
+	if err != nil {
+		panic("virtual: " + err.Error())
+	}
+	first := true
+	red, err := reducer.NewPools(cfg, budget, layout, func(pool string) brain.Decider {
+		if first {
+			first = false
+			return b.decider
+		}
+		own := cfg
+		own.AskDiscovery = false // the list is the same for all, and the first asks for it
+		d, err := b.run.opt.Policy(own, seed^xxhash.Sum64String(pool))
+		if err != nil {
+			panic("virtual: " + err.Error())
+		}
+		return d
+	})
+	if err != nil {
+		panic("virtual: " + err.Error())
+	}
+	return red
+}
+
 func (b *balancer) Kill() { b.stop() }
 
 // stop ends the process: its sockets close with it.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -24,6 +24,7 @@
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/timeline"
 	"pewterrudder/internal/lab/world"
+	"pewterrudder/internal/reducer"
 )
 
 // Policy makes the decisions of one balancer.
@@ -39,7 +40,10 @@
 	Recorder Recorder      // nil: nobody
 	Sample   time.Duration // between Recorder.Sample; 0: never
 	Log      io.Writer     // the whole log of events and the balancers' lines; nil: only a digest is kept
-	InOrder  bool          // tasks due at one instant run as they were set, instead of in an order drawn from the seed
+	// Layout divides the fleet of a balancer with these settings over pools and zones; nil: one pool without zones. Each
+	// pool has a decider of the policy.
+	Layout  func(cfg brain.Settings) (reducer.Layout, error)
+	InOrder bool // tasks due at one instant run as they were set, instead of in an order drawn from the seed
 }
 
 // Recorder hears of what results are made of, as it happens, so that nothing need be kept.
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -44,7 +44,8 @@
 	if c.ClientID != "" {
 		r.byClient[c.ClientID] = c
 	}
-	r.tell(c.pool, &brain.Request{ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
+	first, later := r.boundOf(c)
+	r.tell(c.pool, &brain.Request{First: first, Later: later, ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
 		Work: c.Work, Deadline: c.deadline})
 }
 
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -26,6 +26,7 @@
 		r.end(d, brain.NeverSent, nil)
 		return
 	}
+	r.sentTo(d)
 	r.place(d)
 }
 
@@ -55,6 +56,7 @@
 			r.sayFullAt = r.now + time.Second
 			r.emit(Log{"delegation: every connection of the descriptor budget is in use"})
 		}
+		d.ours = true
 		r.end(d, brain.ConnectFailed, nil)
 		return
 	}
@@ -99,6 +101,7 @@
 	if d.begun > 0 {
 		took = d.begun - d.sent
 	}
+	r.heardFrom(d, o, took, report)
 	r.tell(c.pool, &brain.AttemptEnded{ID: c.brainID, Attempt: d.attempt, Server: d.server, Outcome: o,
 		Took: took, Final: c.done, Report: report})
 	r.forget(c)
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -75,6 +75,11 @@
 		if p == nil || f.deal && len(p.changes) == 0 {
 			continue
 		}
+		if p.region != nil && over {
+			for zone := range p.region.tallies {
+				r.tellZone(p.region, zone)
+			}
+		}
 		changes := p.changes
 		p.changes = nil
 		r.tell(p, &brain.FleetUpdate{Kind: kind, Members: changes})
@@ -121,7 +126,7 @@
 	s.member = *m
 	s.member.Bit = r.zoneBit(m.Zone)
 	if was != s.member {
-		r.note(s, was.State)
+		r.note(s, was)
 	}
 	if moved {
 		return s
@@ -141,7 +146,7 @@
 		switch {
 		case f.deal:
 			if r.mask(&s.member) != s.pools {
-				r.note(s, s.member.State)
+				r.note(s, s.member)
 				n -= 10 // that is more than a look
 			}
 		case s.seen != f.epoch:
@@ -171,13 +176,13 @@
 }
 
 // note has the pools hear of a server: those it belongs to now, and those it has left.
-func (r *Reducer) note(s *server, was brain.Readiness) {
+func (r *Reducer) note(s *server, was brain.Member) {
 	before := s.pools
 	s.pools = 0
 	if s.member.State != brain.Gone {
 		s.pools = r.mask(&s.member)
 	}
-	if was == brain.Ready {
+	if was.State == brain.Ready {
 		r.ready--
 	}
 	if s.member.State == brain.Ready {
@@ -187,6 +192,12 @@
 		if p == nil || (before|s.pools)&(1<<i) == 0 {
 			continue
 		}
+		if p.region != nil && before&(1<<i) != 0 {
+			r.count(p.region, s, &was, -1)
+		}
+		if p.region != nil && s.pools&(1<<i) != 0 {
+			r.count(p.region, s, &s.member, 1)
+		}
 		m := s.member
 		if s.pools&(1<<i) == 0 {
 			m.State = brain.Gone
@@ -207,7 +218,7 @@
 
 // drop takes a server out of the state for good; on a long day most of those ever listed are gone.
 func (r *Reducer) drop(s *server) {
-	was := s.member.State
+	was := s.member
 	s.gone, s.member.State = true, brain.Gone
 	r.note(s, was)
 	r.leaveAddress(s)
--- a/internal/reducer/pools.go
+++ b/internal/reducer/pools.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"math/bits"
+	"reflect"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/zones"
 )
 
 // PoolsMost is how many pools there may be; each has a bit in a server's membership.
@@ -24,6 +26,7 @@
 	Name    string
 	Takes   func(*brain.Member) bool // whether an app node belongs to it; nil: each does
 	MaxOpen int                      // calls open at once, before further ones are refused; 0: as many as come
+	Zones   *zones.Settings          // nil: a zone is as good as another, but for the module's prices
 }
 
 // onePool is the layout of an installation that names none.
@@ -34,6 +37,7 @@
 	PoolSpec
 	index   int
 	node    brain.Decider
+	region  *region        // nil: without zones
 	open    int            // calls
 	retired bool           // by a layout without it: no call comes any more
 	changes []brain.Member // to tell, of the slice under way
@@ -69,6 +73,25 @@
 		wanted[spec.Name] = true
 		next[i] = byName[spec.Name]
 	}
+	regions := make([]*region, len(l.Pools))
+	for i, spec := range l.Pools {
+		if spec.Zones == nil {
+			continue
+		}
+		for at, zone := range spec.Zones.Zones {
+			if r.zoneBit(zone) != 1<<at {
+				return fmt.Errorf("pool %q: the zones differ from those of the start", spec.Name)
+			}
+		}
+		if next[i] != nil && next[i].Zones != nil && reflect.DeepEqual(next[i].Zones, spec.Zones) {
+			regions[i] = next[i].region // with what it has learned
+			continue
+		}
+		var err error
+		if regions[i], err = newRegion(*spec.Zones); err != nil {
+			return fmt.Errorf("pool %q: %w", spec.Name, err)
+		}
+	}
 	if used > PoolsMost {
 		return fmt.Errorf("%d pools, with those that still have calls, of %d", used, PoolsMost)
 	}
@@ -77,6 +100,12 @@
 			next[i] = r.addPool(spec)
 		}
 		next[i].PoolSpec = spec
+		r.zoned = r.zoned || regions[i] != nil
+		if p := next[i]; p.region != regions[i] {
+			if p.region = regions[i]; p.region != nil {
+				r.recount(p)
+			}
+		}
 	}
 	for name, p := range byName {
 		p.retired = !wanted[name]
@@ -99,6 +128,15 @@
 	return p
 }
 
+// recount fills the tallies of a region that is new to a pool with members.
+func (r *Reducer) recount(p *pool) {
+	for _, s := range r.ordered {
+		if s.pools&(1<<p.index) != 0 {
+			r.count(p.region, s, &s.member, 1)
+		}
+	}
+}
+
 // mask is the set of pools that an app node belongs to.
 func (r *Reducer) mask(m *brain.Member) (set uint64) {
 	for i, p := range r.pools {
--- a/internal/reducer/pools_test.go
+++ b/internal/reducer/pools_test.go
@@ -68,7 +68,7 @@
 	w := &world{t: t, now: time.Hour, cfg: settings()}
 	w.start(100)
 	views := map[string]*viewer{}
-	r, err := newReducer(w.cfg, 100, l, func(pool string) brain.Decider {
+	r, err := NewPools(w.cfg, 100, l, func(pool string) brain.Decider {
 		views[pool] = &viewer{t: t, view: map[string]brain.Member{}, sends: map[string]string{}}
 		return views[pool]
 	})
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -147,6 +147,8 @@
 	sweep    struct{}
 	rewatch  struct{}
 	more     struct{}
+
+	zoneClock struct{}
 )
 
 // Written says how far a request came.
@@ -264,6 +266,7 @@
 	sent    time.Duration
 	begun   time.Duration // when its answer was committed
 	shot    bool          // it may have taken a part of a OneShot body
+	ours    bool          // it failed for want of our own descriptors
 	over    bool
 }
 
@@ -308,6 +311,7 @@
 	byAddress map[string][]*server
 	zoneBits  map[string]uint64
 	ready     int // servers
+	zoned     bool
 	epoch     uint64
 	feeds     []*feed // the first is being worked through
 	touched   []*server
@@ -337,7 +341,7 @@
 		return nil, err
 	}
 	first := true
-	return newReducer(cfg, budget, l, func(pool string) brain.Decider {
+	return NewPools(cfg, budget, l, func(pool string) brain.Decider {
 		own, s := cfg, seed
 		if !first {
 			own.AskDiscovery = false
@@ -354,14 +358,15 @@
 
 // NewWith makes the state around a decider that is not the module.
 func NewWith(cfg brain.Settings, node brain.Decider, budget int) *Reducer {
-	r, err := newReducer(cfg, budget, onePool(), func(string) brain.Decider { return node })
+	r, err := NewPools(cfg, budget, onePool(), func(string) brain.Decider { return node })
 	if err != nil {
 		panic(err) // one pool is a layout
 	}
 	return r
 }
 
-func newReducer(cfg brain.Settings, budget int, l Layout, decide func(string) brain.Decider) (*Reducer, error) {
+// NewPools makes the state of pools around deciders that decide makes, one for each pool.
+func NewPools(cfg brain.Settings, budget int, l Layout, decide func(string) brain.Decider) (*Reducer, error) {
 	r := &Reducer{cfg: cfg, decide: decide, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
 		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{}}
@@ -394,6 +399,9 @@
 	switch e := ev.(type) {
 	case Started:
 		r.discovery = e.Discovery
+		if r.zoned {
+			r.emit(Arm{zoneTick, zoneClock{}})
+		}
 		r.onList(e.Known, brain.UpdateRestored)
 		if !r.cfg.AskDiscovery {
 			r.openWatch()
@@ -466,6 +474,8 @@
 		if len(r.feeds) > 0 {
 			r.feedOn()
 		}
+	case zoneClock:
+		r.onZoneTick()
 	}
 	effects, r.out = r.out, nil
 	return effects
@@ -546,6 +556,7 @@
 func (sweep) event()      {}
 func (rewatch) event()    {}
 func (more) event()       {}
+func (zoneClock) event()  {}
 
 func (Answer) effect()   {}
 func (Dial) effect()     {}
