--- a/internal/lab/paper/model.go
+++ b/internal/lab/paper/model.go
@@ -77,10 +77,10 @@
 }
 
 // patience is longer than any wait, so that nobody leaves and no answer is late: a burst of the mean size on one site
-// takes I/2 services, bursts are exponential, and a site that is loaded otherwise works it off the slower. A run's clock
-// goes on for so long after the last job, so it is no longer than it must be.
+// takes I/2 services, bursts are exponential, services may scatter by more, and a site that is loaded otherwise works
+// it all off the slower. A run's clock goes on for so long after the last job, so it is no longer than it must be.
 func (s *System) patience() time.Duration {
-	return 10*time.Minute + time.Duration(5*s.Dispersion*s.Mean()/(1-s.Load)*scale*float64(time.Second))
+	return 10*time.Minute + time.Duration(5*(s.Dispersion+s.CV*s.CV)*s.Mean()/(1-s.Load)*scale*float64(time.Second))
 }
 
 func seconds(paper float64) scenario.Duration {
