--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -33,7 +33,7 @@
 	result.Record
 	Broken uint64         // rules broken, all told
 	Breaks []oracle.Break // the first of them
-	Wishes uint64
+	Counts oracle.Counts
 }
 
 // Progress hears of the share that is done, from any goroutine, one call at a time.
@@ -64,7 +64,7 @@
 		g.to.Fault(e.Kind, target(sc, e), e.From-world.Lead, e.To-world.Lead)
 	}
 	c := &rec.Counts
-	d := &Done{Broken: rec.Broken, Breaks: rec.Breaks, Wishes: c.Wishes}
+	d := &Done{Broken: rec.Broken, Breaks: rec.Breaks, Counts: *c}
 	d.Record = g.to.Record(result.Run{Scenario: sc.Name, Seed: job.Seed, Policy: job.Policy, On: "virtual",
 		Digest: fmt.Sprintf("%016x", rec.Digest), Duplicated: int64(c.Duplicated), DrainBreaks: int64(c.DrainBreaks),
 		ColdBreaks: int64(c.ColdBreaks), Leaked: int64(c.Leaked), PeakPressure: c.Peak, Speedup: rec.Speedup})
