--- /dev/null
+++ b/internal/lab/sockets/pace.go
@@ -0,0 +1,161 @@
+package sockets
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pewterrudder/internal/lab/timeline"
+)
+
+// pace is the real clock as the world is given it. Within a task the time is that for which it was set, so that small
+// delays of the machine do not add up along a chain of messages; they show where the world meets a socket alone. It keeps
+// a histogram of how late things ran.
+type pace struct {
+	real  *timeline.Real
+	begin time.Time
+	now   time.Duration // of the task that runs; never goes back
+	late  *hdrhistogram.Histogram
+	hold  func(due time.Duration) // the test of the void verdict holds tasks up with it
+	deaf  bool                    // what is late now harms nothing
+	awake atomic.Bool             // a tick is on its way
+	over  atomic.Bool
+	end   chan struct{}
+}
+
+// Lateness of the lab itself.
+type Lateness struct {
+	Worst  time.Duration
+	Often  time.Duration // at one moment in a thousand
+	Median time.Duration
+	Count  int64 // of the moments
+}
+
+// judge says why a run counts for nothing, or nothing.
+func (b Bound) judge(l Lateness) string {
+	switch {
+	case l.Worst > b.Worst:
+		return fmt.Sprintf("the lab was late by %v, and %v is allowed", l.Worst.Round(10*time.Microsecond), b.Worst)
+	case l.Often > b.Often:
+		return fmt.Sprintf("the lab was late by %v or more at one moment in a thousand, and %v is allowed",
+			l.Often.Round(10*time.Microsecond), b.Often)
+	}
+	return ""
+}
+
+// tick is how often the clock's goroutine is woken. The runtime's own timers round to a millisecond where it waits for
+// sockets meanwhile, which is most of what a message takes here; a thread that sleeps by itself costs a few percent of
+// a core and is late by a tenth of that.
+const tick = 100 * time.Microsecond
+
+func newPace() *pace {
+	c := &pace{real: timeline.NewReal(), begin: time.Now(), late: hdrhistogram.New(1, time.Minute.Microseconds(), 2),
+		end: make(chan struct{})}
+	c.begin = c.begin.Add(-c.real.Now())
+	return c
+}
+
+func (c *pace) Now() time.Duration {
+	return c.now
+}
+
+// After counts from the time of the task that runs.
+func (c *pace) After(d time.Duration, t timeline.Task) timeline.Timer {
+	due := c.now + max(0, d)
+	return c.real.After(due-c.real.Now(), &paced{c, due, t})
+}
+
+// paced is a task with its time.
+type paced struct {
+	c   *pace
+	due time.Duration
+	t   timeline.Task
+}
+
+func (p *paced) Run() {
+	c := p.c
+	if c.hold != nil {
+		c.hold(p.due)
+	}
+	c.count(c.real.Now() - p.due)
+	c.now = max(c.now, p.due)
+	if !c.over.Load() {
+		p.t.Run()
+	}
+}
+
+func (c *pace) count(late time.Duration) {
+	if c.deaf {
+		return
+	}
+	c.late.RecordValue(min(max(0, late.Microseconds()), time.Minute.Microseconds()))
+}
+
+// post has a function run on the clock's goroutine, at the time at which it gets there. What comes after the end of the
+// run is dropped.
+func (c *pace) post(fn func()) {
+	if c.over.Load() {
+		return
+	}
+	came := c.real.Now()
+	c.real.Do(func() {
+		if c.over.Load() {
+			return
+		}
+		now := c.real.Now()
+		c.count(now - came)
+		c.now = max(c.now, now)
+		fn()
+	})
+}
+
+// start enters what comes first.
+func (c *pace) start(fn func()) {
+	c.real.Do(func() {
+		c.now = max(c.now, c.real.Now())
+		fn()
+	})
+}
+
+// run drives the clock until the context ends.
+func (c *pace) run(ctx context.Context) {
+	go func() {
+		runtime.LockOSThread() // it sleeps as a thread
+		defer runtime.UnlockOSThread()
+		wake := func() { c.awake.Store(false) }
+		for !c.over.Load() {
+			pause := syscall.NsecToTimespec(tick.Nanoseconds())
+			syscall.Nanosleep(&pause, nil)
+			if c.awake.CompareAndSwap(false, true) {
+				c.real.Do(wake)
+			}
+		}
+	}()
+	c.real.Run(ctx)
+	c.close()
+}
+
+// close has nothing run any more.
+func (c *pace) close() {
+	if c.over.CompareAndSwap(false, true) {
+		close(c.end)
+	}
+}
+
+// drain takes what is still handed in, so that nobody waits to hand it in; it does nothing with it.
+func (c *pace) drain(for_ time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), for_)
+	defer stop()
+	c.real.Run(ctx)
+}
+
+func (c *pace) lateness() Lateness {
+	at := func(q float64) time.Duration { return time.Duration(c.late.ValueAtQuantile(q)) * time.Microsecond }
+	return Lateness{Worst: time.Duration(c.late.Max()) * time.Microsecond, Often: at(99.9), Median: at(50),
+		Count: c.late.TotalCount()}
+}
--- /dev/null
+++ b/internal/lab/sockets/sockets.go
@@ -0,0 +1,379 @@
+// Package sockets owns the lab's socket mode: it starts real balancer processes and plays a world against them over
+// loopback, in real time, in the place of clients, the front, app nodes and discovery. The world is the one of virtual
+// mode and has the same network in it; a process's sockets stand where a simulated balancer's events and effects stand
+// there. A run's verdict comes from the same oracles, and a run in which the lab was late by itself is void. It must
+// never look into a balancer, end a process that it did not start, or leave one behind.
+//
+// pace.go is the clock and its lateness, process.go the processes, clients.go, nodes.go and discovery.go the three sides
+// of a balancer, gate.go the listeners that can fall silent, body.go what answers are made of, settings.go what a
+// balancer is told.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"pewterrudder/internal/lab/chance"
+	"pewterrudder/internal/lab/oracle"
+	"pewterrudder/internal/lab/scenario"
+	"pewterrudder/internal/lab/timeline"
+	"pewterrudder/internal/lab/virtual"
+	"pewterrudder/internal/lab/world"
+)
+
+// Options of a run.
+type Options struct {
+	Seed     uint64
+	Balancer string           // the program; empty: bin/pewterrudder
+	Recorder virtual.Recorder // nil: nobody
+	Sample   time.Duration    // between Recorder.Sample; 0: never
+	Log      io.Writer        // the log of events and the balancers' lines; nil: none is kept
+	Bound    Bound            // on the lab's own lateness; zero: DefaultBound
+	Live     func(*Live)      // told before the first event, on the clock's goroutine; for what steers a run by hand
+	Forever  bool             // the run lasts until its context ends, which is then no fault
+	// Strangers has app nodes take requests that no client of the world has made, such as one that is sent by hand.
+	Strangers bool
+}
+
+// Bound is the lateness up to which a run counts. The lab is late where a task runs after its time, or where what came
+// from a socket waits for its turn.
+type Bound struct {
+	Worst time.Duration // at any time
+	Often time.Duration // at one time in a thousand
+}
+
+// DefaultBound: the days' aims lie at 150 ms and more, and medians near 10 ms. One moment in a thousand that is 5 ms late
+// moves no median and no goodput that anybody could see; 100 ms at once is a machine that stood still.
+var DefaultBound = Bound{Worst: 100 * time.Millisecond, Often: 5 * time.Millisecond}
+
+// Record is what a run came to. Its speedup is 1 by nature.
+type Record struct {
+	virtual.Record
+	Void  string // why the run counts for nothing; empty: it counts
+	Late  Lateness
+	Ended bool // the context ended it before its time
+}
+
+// ErrPolled: a scenario wants reports to reach decisions past the balancer, which has no socket for that.
+var ErrPolled = errors.New("polled reports have no way into a real balancer")
+
+// mostNodes bounds what one machine can play: each balancer has a listener for each app node.
+const mostNodes = 256
+
+// run is one run.
+type run struct {
+	opt    Options
+	sc     *scenario.Scenario
+	src    chance.Source
+	clock  *pace
+	world  *world.World
+	oracle *oracle.Oracle
+	dir    string // of the balancers' files
+	begin  time.Time
+	seats  []*seat
+	gates  [][]*gate // by balancer and address
+	flows  string    // path of the settings file, where one is needed
+	keep   *keeper
+	ways   *ways
+	sample virtual.Sample
+	busy   []float64
+	logMu  sync.Mutex
+	logged uint64
+	asks   map[uint64]*flight // under way, by the request's id
+	made   uint64             // answers
+}
+
+// seen joins the oracle and the recorder.
+type seen struct {
+	*oracle.Oracle
+	to virtual.Recorder
+}
+
+func (s seen) Settled(op *world.Op, how world.Kind, at time.Duration) {
+	s.Oracle.Settled(op, how, at)
+	if s.to != nil {
+		s.to.Settled(op, how, at)
+	}
+}
+
+// Run plays a scenario from its beginning to its end, or until the context ends.
+func Run(ctx context.Context, sc *scenario.Scenario, opt Options) (*Record, error) {
+	if sc.Reports.How == "polled" {
+		return nil, fmt.Errorf("%s: reports.how: %w", sc.Name, ErrPolled)
+	}
+	nodes := 0
+	for i := range sc.Nodes {
+		nodes += sc.Nodes[i].Count
+	}
+	if nodes*sc.Balancers.Count > mostNodes*4 {
+		return nil, fmt.Errorf("%s: nodes: %d app nodes for %d balancers are too many for sockets on one machine", sc.Name, nodes,
+			sc.Balancers.Count)
+	}
+	if opt.Bound == (Bound{}) {
+		opt.Bound = DefaultBound
+	}
+	if opt.Balancer == "" {
+		opt.Balancer = filepath.Join("bin", "pewterrudder")
+	}
+	path, err := filepath.Abs(opt.Balancer)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(path); err != nil {
+		return nil, fmt.Errorf("the balancer's program: %w", err)
+	}
+	opt.Balancer = path
+	r := &run{opt: opt, sc: sc, src: chance.New(opt.Seed), asks: map[uint64]*flight{}}
+	if r.dir, err = os.MkdirTemp("", "rudderlab-"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(r.dir)
+	return r.play(ctx)
+}
+
+// play builds the world around the processes, and takes all of it down in any case.
+func (r *run) play(ctx context.Context) (*Record, error) {
+	sc, opt := r.sc, r.opt
+	r.clock = newPace()
+	r.begin = r.clock.begin
+	r.oracle = oracle.New(sc)
+	journal := world.NewJournal()
+	if opt.Log != nil {
+		journal.Out = &locked{r}
+	}
+	r.world = world.New(sc, r.clock, r.src, journal, seen{r.oracle, opt.Recorder})
+	r.oracle.Watch(r.world)
+	r.keep = newKeeper()
+	r.ways = newWays(r)
+	defer r.keep.stop() // the last of all: no process outlives the run
+	defer r.takeDown()
+	r.gates = make([][]*gate, sc.Balancers.Count)
+	seats := make([]world.Balancer, sc.Balancers.Count)
+	for i := range seats {
+		s, err := newSeat(r, i)
+		if s != nil {
+			r.seats = append(r.seats, s)
+		}
+		if err != nil {
+			return nil, err
+		}
+		seats[i] = s
+	}
+	var err error
+	if r.flows, err = r.flowSettings(); err != nil {
+		return nil, err
+	}
+	for b := range r.seats {
+		for a := range r.world.Addresses {
+			if _, err := r.gate(b, a); err != nil {
+				return nil, err
+			}
+		}
+	}
+	began := time.Now()
+	inner, stop := context.WithCancel(ctx)
+	defer stop()
+	finished := false
+	r.clock.start(func() {
+		r.world.Open(seats)
+		if opt.Live != nil {
+			opt.Live(&Live{r})
+		}
+		if opt.Recorder != nil && opt.Sample > 0 {
+			r.armSample()
+		}
+		r.watchGates()
+		r.clock.deaf = true // until just before the first request
+		r.clock.After(world.Lead-200*time.Millisecond, timeline.Func(func() { r.clock.deaf = false }))
+		if !opt.Forever {
+			r.clock.After(r.lastly(), timeline.Func(func() { r.finish(func() { finished = true; stop() }) }))
+		}
+	})
+	r.clock.run(inner)
+	took := time.Since(began)
+	if finished {
+		r.oracle.Close()
+	}
+	rec := &Record{Late: r.clock.lateness(), Ended: !finished}
+	rec.Record = virtual.Record{Scenario: sc.Name, Seed: opt.Seed, Digest: journal.Digest(), Events: journal.Count, Logged: r.logged,
+		Counts: r.oracle.Counts, Breaks: r.oracle.Breaks, Episodes: r.world.Episodes, Begin: world.Lead, End: r.world.End,
+		Lasted: r.clock.Now(), Took: took, Speedup: 1}
+	for _, n := range r.oracle.ByRule {
+		rec.Broken += n
+	}
+	rec.Void = opt.Bound.judge(rec.Late)
+	if !finished && !opt.Forever {
+		return rec, fmt.Errorf("%s: %w", sc.Name, context.Cause(ctx))
+	}
+	return rec, nil
+}
+
+// afterwards is added to the longest time that a request can still take once the last has come.
+const afterwards = time.Second
+
+// longest is the longest deadline of a class.
+func (r *run) longest() (d time.Duration) {
+	for i := range r.sc.Classes {
+		d = max(d, r.sc.Classes[i].Deadline.D())
+	}
+	return d
+}
+
+// lastly is when all that was asked for must have been answered, and faults that end have ended.
+func (r *run) lastly() time.Duration {
+	return r.world.End + r.longest() + r.sc.Rules.Grace.D() + afterwards
+}
+
+// finish looks for what is left over, ends the processes as an operator would, and then says so.
+func (r *run) finish(done func()) {
+	for _, n := range r.world.Nodes {
+		n.End()
+	}
+	r.clock.deaf = true
+	r.ways.stop()
+	r.leaks(time.Now().Add(leaksWithin), func() { r.quit(done) })
+}
+
+// leaksWithin is how long a balancer may take to see that a connection has ended.
+const leaksWithin = 2 * time.Second
+
+// quit ends all processes with notice.
+func (r *run) quit(done func()) {
+	left := 0
+	for _, s := range r.seats {
+		if s.up() {
+			left++
+			s.quit(func() {
+				if left--; left == 0 {
+					done()
+				}
+			})
+		}
+	}
+	if left == 0 {
+		done()
+	}
+}
+
+// leaks judges what the balancers hold on to though nobody waits for anything: requests at app nodes, and sockets beyond
+// the listener, the watch and the connections that they keep to app nodes.
+func (r *run) leaks(until time.Time, then func()) {
+	fault := ""
+	for _, s := range r.seats {
+		if s.proc == nil {
+			continue
+		}
+		busy := 0
+		for k := range s.nodeConns {
+			if k.asked != 0 {
+				busy++
+			}
+		}
+		const own = 2 // the listener and the watch
+		if sockets, ok := s.proc.sockets(); busy > 0 {
+			fault = fmt.Sprintf("balancer %d holds %d connections as busy", s.index, busy)
+		} else if ok && sockets > own+len(s.nodeConns) {
+			fault = fmt.Sprintf("balancer %d holds %d sockets, and %d connections to app nodes", s.index, sockets, len(s.nodeConns))
+		}
+	}
+	switch {
+	case fault == "":
+		then()
+	case time.Now().After(until):
+		r.oracle.Break(oracle.Leaks, "%s", fault)
+		then()
+	default:
+		r.clock.After(50*time.Millisecond, timeline.Func(func() { r.leaks(until, then) }))
+	}
+}
+
+// takeDown closes all that is open; the processes are the keeper's.
+func (r *run) takeDown() {
+	r.clock.close()
+	for _, s := range r.seats {
+		s.close()
+	}
+	for _, of := range r.gates {
+		for _, g := range of {
+			g.close()
+		}
+	}
+	r.keep.killAll()
+	for _, s := range r.seats {
+		s.join()
+	}
+}
+
+// Live lets somebody steer a run from outside.
+type Live struct{ r *run }
+
+// Do has a function run on the clock's goroutine, where all of the world belongs.
+func (l *Live) Do(fn func(w *world.World)) { l.r.clock.post(func() { fn(l.r.world) }) }
+
+// Address is where a balancer listens.
+func (l *Live) Address(balancer int) string { return l.r.seats[balancer].listen }
+
+// PID is a balancer's process; 0 where none runs.
+func (l *Live) PID(balancer int) int { return l.r.seats[balancer].pid() }
+
+// Late is the lateness so far; on the clock's goroutine alone.
+func (l *Live) Late() Lateness { return l.r.clock.lateness() }
+
+// Counts are the oracle's so far; on the clock's goroutine alone.
+func (l *Live) Counts() *oracle.Counts { return &l.r.oracle.Counts }
+
+// ---- samples ----
+
+func (r *run) armSample() {
+	r.clock.After(r.opt.Sample, timeline.Func(func() {
+		if r.opt.Forever || r.clock.Now() <= r.world.End {
+			r.takeSample()
+			r.armSample()
+		}
+	}))
+}
+
+func (r *run) takeSample() {
+	s := &r.sample
+	s.At = r.clock.Now()
+	s.Nodes, s.Balancers = s.Nodes[:0], s.Balancers[:0]
+	for i, n := range r.world.Nodes {
+		if i == len(r.busy) {
+			r.busy = append(r.busy, 0)
+		}
+		busy := n.BusySeconds()
+		s.Nodes = append(s.Nodes, virtual.NodeSample{Up: n.Up, Cold: n.Warmth() < 1, Held: n.Held(), Waiting: n.Waiting(),
+			Conns: n.Conns(), Busy: (busy - r.busy[i]) / r.opt.Sample.Seconds(), Capacity: n.Capacity()})
+		r.busy[i] = busy
+	}
+	for _, b := range r.seats {
+		s.Balancers = append(s.Balancers, virtual.BalancerSample{Up: b.ready, Open: b.flying, Conns: len(b.nodeConns)})
+	}
+	r.opt.Recorder.Sample(s)
+}
+
+// ---- the log ----
+
+// locked writes lines of the journal between those of the balancers.
+type locked struct{ r *run }
+
+func (l *locked) Write(p []byte) (int, error) {
+	l.r.logMu.Lock()
+	defer l.r.logMu.Unlock()
+	return l.r.opt.Log.Write(p)
+}
+
+func (r *run) say(balancer int, text string) {
+	r.logMu.Lock()
+	defer r.logMu.Unlock()
+	r.logged++
+	if r.opt.Log != nil {
+		fmt.Fprintf(r.opt.Log, "%12.6f balancer %d: %s\n", time.Since(r.begin).Seconds(), balancer, text)
+	}
+}
