--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -124,6 +124,10 @@
 			}
 			c := &e.rec.Counts
 			fmt.Fprintf(opt.Out, "ended: %d requests, %d served; the balancer and all stand-ins are gone\n", c.Wishes, c.Served)
+			if e.rec.Void != "" {
+				fmt.Fprintf(opt.Out, "this machine was too busy to judge by: %s\n", e.rec.Void)
+				return nil
+			}
 			for _, b := range e.rec.Breaks {
 				fmt.Fprintln(opt.Out, b)
 			}
