--- a/internal/lab/sockets/pace.go
+++ b/internal/lab/sockets/pace.go
@@ -13,13 +13,14 @@
 	"pewterrudder/internal/lab/timeline"
 )
 
-// pace is the real clock as the world is given it. Within a task the time is that for which it was set, so that small
-// delays of the machine do not add up along a chain of messages; they show where the world meets a socket alone. It keeps
-// a histogram of how late things ran.
+// pace is the real clock as the world is given it: the queue of virtual time, which the real clock takes along. Within a
+// task the time is that for which it was set, so that small delays of the machine do not add up along a chain of messages;
+// they show where the world meets a socket alone. And tasks run in the order of their times, to the nanosecond that keeps a
+// connection's messages apart. It keeps a histogram of how late things ran.
 type pace struct {
+	*timeline.Virtual
 	real  *timeline.Real
 	begin time.Time
-	now   time.Duration // of the task that runs; never goes back
 	late  times
 	hold  func(due time.Duration) // the test of the void verdict holds tasks up with it
 	deaf  bool                    // what is late now harms nothing
@@ -54,20 +55,15 @@
 const tick = 100 * time.Microsecond
 
 func newPace() *pace {
-	c := &pace{real: timeline.NewReal(), begin: time.Now(), late: newTimes(),
+	c := &pace{Virtual: timeline.NewVirtual(0), real: timeline.NewReal(), begin: time.Now(), late: newTimes(),
 		end: make(chan struct{})}
 	c.begin = c.begin.Add(-c.real.Now())
 	return c
 }
 
-func (c *pace) Now() time.Duration {
-	return c.now
-}
-
 // After counts from the time of the task that runs.
 func (c *pace) After(d time.Duration, t timeline.Task) timeline.Timer {
-	due := c.now + max(0, d)
-	return c.real.After(due-c.real.Now(), &paced{c, due, t})
+	return c.Virtual.After(d, &paced{c, c.Now() + max(0, d), t})
 }
 
 // paced is a task with its time.
@@ -79,13 +75,20 @@
 
 func (p *paced) Run() {
 	c := p.c
+	if c.over.Load() {
+		return
+	}
 	if c.hold != nil {
 		c.hold(p.due)
 	}
 	c.count(c.real.Now() - p.due)
-	c.now = max(c.now, p.due)
+	p.t.Run()
+}
+
+// advance runs what is due by now.
+func (c *pace) advance() {
 	if !c.over.Load() {
-		p.t.Run()
+		c.Virtual.Run(c.real.Now())
 	}
 }
 
@@ -118,20 +121,11 @@
 	}
 	came := c.real.Now()
 	c.real.Do(func() {
+		c.advance()
 		if c.over.Load() {
 			return
 		}
-		now := c.real.Now()
-		c.count(now - came)
-		c.now = max(c.now, now)
-		fn()
-	})
-}
-
-// start enters what comes first.
-func (c *pace) start(fn func()) {
-	c.real.Do(func() {
-		c.now = max(c.now, c.real.Now())
+		c.count(c.real.Now() - came)
 		fn()
 	})
 }
@@ -141,7 +135,10 @@
 	go func() {
 		runtime.LockOSThread() // it sleeps as a thread
 		defer runtime.UnlockOSThread()
-		wake := func() { c.awake.Store(false) }
+		wake := func() {
+			c.awake.Store(false)
+			c.advance()
+		}
 		for !c.over.Load() {
 			pause := syscall.NsecToTimespec(tick.Nanoseconds())
 			syscall.Nanosleep(&pause, nil)
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"path/filepath"
 	"sync"
@@ -39,6 +40,8 @@
 	Forever  bool             // the run lasts until its context ends, which is then no fault
 	// Strangers has app nodes take requests that no client of the world has made, such as one that is sent by hand.
 	Strangers bool
+
+	hold func(due time.Duration) // see pace
 }
 
 // Bound is the lateness up to which a run counts. The lab is late where a task runs after its time, or where what came
@@ -122,6 +125,11 @@
 		return nil, fmt.Errorf("%s: nodes: %d app nodes for %d balancers are too many for sockets on one machine", sc.Name, nodes,
 			sc.Balancers.Count)
 	}
+	for i := range sc.Classes { // they stand in paths and headers
+		if name := sc.Classes[i].Name; name != url.PathEscape(name) {
+			return nil, fmt.Errorf("%s: classes[%d].name: %q cannot stand in a path", sc.Name, i, name)
+		}
+	}
 	if opt.Bound == (Bound{}) {
 		opt.Bound = DefaultBound
 	}
@@ -149,6 +157,7 @@
 	sc, opt := r.sc, r.opt
 	shortTurns()
 	r.clock = newPace()
+	r.clock.hold = opt.hold
 	r.begin = r.clock.begin
 	r.oracle = oracle.New(sc)
 	journal := world.NewJournal()
@@ -189,7 +198,7 @@
 	defer stop()
 	finished := false
 	end := func() { r.finish(func() { finished = true; stop() }) }
-	r.clock.start(func() {
+	r.clock.post(func() {
 		r.world.Open(seats)
 		if opt.Live != nil {
 			opt.Live(&Live{r, func() { r.wait(end) }})
