--- a/internal/lab/demo/page.go
+++ b/internal/lab/demo/page.go
@@ -70,12 +70,12 @@
 		if v.served < 0.995 {
 			served = p.paint(yellow, fmt.Sprintf("%5.1f %% served", 100*v.served))
 		}
-		lines = append(lines, fmt.Sprintf("last 5 s  %4.0f requests/s, %s, in ms: half %.0f, nine in ten %.0f, 99 of 100 %.0f",
+		lines = append(lines, fmt.Sprintf("last 5 s  %4.0f requests/s, %s, p50 %.0f ms, p90 %.0f ms, p99 %.0f ms",
 			v.rate, served, ms(v.p50), ms(v.p90), ms(v.p99)))
 	} else {
 		lines = append(lines, "last 5 s  the first requests come when the balancer has been up for 3 s")
 	}
-	lines = append(lines, fmt.Sprintf("in all    %d served, %d refused, %d failed, %d without an answer", v.ends[world.Served],
+	lines = append(lines, fmt.Sprintf("in all    %d served, %d refused, %d failed, %d unanswered", v.ends[world.Served],
 		v.ends[world.Refused], v.ends[world.Failed], v.ends[world.Unreached]+v.ends[world.Lost]+v.ends[world.Crashed]),
 		"", "app node    zone    state       gets/s  holds  busy")
 	for i := range v.nodes {
--- a/internal/lab/sockets/pace.go
+++ b/internal/lab/sockets/pace.go
@@ -111,7 +111,12 @@
 	return time.Duration(t.ValueAtQuantile(percent)) * time.Microsecond
 }
 
-func (t times) median() time.Duration { return t.at(50) }
+// Spread of a time.
+type Spread struct{ Mean, P50, P90, P99 time.Duration }
+
+func (t times) spread() Spread {
+	return Spread{time.Duration(t.Mean() * 1e3), t.at(50), t.at(90), t.at(99)}
+}
 
 // post has a function run on the clock's goroutine, at the time at which it gets there. What comes after the end of the
 // run is dropped.
@@ -166,6 +171,6 @@
 }
 
 func (c *pace) lateness() Lateness {
-	return Lateness{Worst: time.Duration(c.late.Max()) * time.Microsecond, Often: c.late.at(99), Median: c.late.median(),
+	return Lateness{Worst: time.Duration(c.late.Max()) * time.Microsecond, Often: c.late.at(99), Median: c.late.at(50),
 		Count: c.late.TotalCount()}
 }
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -64,7 +64,7 @@
 	Ended bool // the context ended it before its time
 	// Through a balancer's process and the system's sockets, which virtual time takes to be nothing: from the writing of a
 	// request to its first arrival at an app node's socket, and from an answer's writing there to its first byte.
-	There, Back time.Duration // medians
+	There, Back Spread
 }
 
 // ErrPolled: a scenario wants reports to reach decisions past the balancer, which has no socket for that.
@@ -218,7 +218,7 @@
 	if finished {
 		r.oracle.Close()
 	}
-	rec := &Record{Late: r.clock.lateness(), Ended: !finished, There: r.there.median(), Back: r.back.median()}
+	rec := &Record{Late: r.clock.lateness(), Ended: !finished, There: r.there.spread(), Back: r.back.spread()}
 	rec.Record = virtual.Record{Scenario: sc.Name, Seed: opt.Seed, Digest: journal.Digest(), Events: journal.Count, Logged: r.logged,
 		Counts: r.oracle.Counts, Breaks: r.oracle.Breaks, Episodes: r.world.Episodes, Begin: world.Lead, End: r.world.End,
 		Lasted: r.clock.Now(), Took: took, Speedup: 1}
