--- a/internal/lab/sockets/gate.go
+++ b/internal/lab/sockets/gate.go
@@ -71,6 +71,13 @@
 	return g.want
 }
 
+// failed says why a gate is of no use any more.
+func (g *gate) failed() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fault
+}
+
 // close ends the gate and waits for its goroutine.
 func (g *gate) close() {
 	g.set(closed)
--- a/internal/lab/sockets/pace.go
+++ b/internal/lab/sockets/pace.go
@@ -85,10 +85,10 @@
 	p.t.Run()
 }
 
-// advance runs what is due by now.
-func (c *pace) advance() {
+// advance runs what is due by a moment.
+func (c *pace) advance(until time.Duration) {
 	if !c.over.Load() {
-		c.Virtual.Run(c.real.Now())
+		c.Virtual.Run(until)
 	}
 }
 
@@ -118,15 +118,15 @@
 	return Spread{time.Duration(t.Mean() * 1e3), t.at(50), t.at(90), t.at(99)}
 }
 
-// post has a function run on the clock's goroutine, at the time at which it gets there. What comes after the end of the
-// run is dropped.
+// post has a function run on the clock's goroutine. Its time is that of the call, so that what has come from a socket while
+// the goroutine was busy keeps its place among what was due. What comes after the end of the run is dropped.
 func (c *pace) post(fn func()) {
 	if c.over.Load() {
 		return
 	}
 	came := c.real.Now()
 	c.real.Do(func() {
-		c.advance()
+		c.advance(came)
 		if c.over.Load() {
 			return
 		}
@@ -142,7 +142,7 @@
 		defer runtime.UnlockOSThread()
 		wake := func() {
 			c.awake.Store(false)
-			c.advance()
+			c.advance(c.real.Now())
 		}
 		for !c.over.Load() {
 			pause := syscall.NsecToTimespec(tick.Nanoseconds())
