--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"hash/fnv"
 	"runtime"
 	"strings"
@@ -161,6 +162,30 @@
 	return acts
 }
 
+// newest sends each request once, to the app node that has started last.
+type newest struct{ at brain.Member }
+
+func (n *newest) Handle(_ time.Duration, ev brain.Event, acts []brain.Action) []brain.Action {
+	switch e := ev.(type) {
+	case *brain.FleetUpdate:
+		for _, m := range e.Members {
+			if m.State == brain.Ready && (n.at.Server == "" || m.Started > n.at.Started) {
+				n.at = m
+			}
+		}
+		if e.Kind == brain.UpdateRestored || e.Kind == brain.UpdateAskFailed {
+			acts = append(acts, brain.Action{Kind: brain.Subscribe})
+		}
+	case *brain.Request:
+		acts = append(acts, brain.Action{Kind: brain.Send, ID: e.ID, Server: n.at.Server})
+	case *brain.AttemptEnded:
+		if e.Outcome != brain.OK && !e.Final {
+			acts = append(acts, brain.Action{Kind: brain.Fail, ID: e.ID})
+		}
+	}
+	return acts
+}
+
 // What the module does wrong shows in the verdict, through the reducer and the world.
 func TestWhatTheModuleDoesWrongShows(t *testing.T) {
 	for _, c := range []struct {
@@ -171,8 +196,12 @@
 		{"rolling-deploy", "ignores drains", []string{"length=30s"}, oracle.Drains},
 		{"one-class-fails", "refuses what may have run", []string{"length=20s"}, oracle.Effects},
 		{"calm", "panics", []string{"length=5s"}, oracle.Sound},
+		{"flash-crowd", "sends all to the newest", []string{"length=25s"}, oracle.Cold},
 	} {
 		rec := play(t, load(t, c.scenario, c.set...), Options{Seed: 2, Policy: func(cfg brain.Settings, seed uint64) (brain.Decider, error) {
+			if c.flaw == "sends all to the newest" {
+				return &newest{}, nil
+			}
 			inner, err := brain.New(cfg, seed)
 			return &saboteur{inner, c.flaw}, err
 		}})
@@ -272,3 +301,39 @@
 		t.Errorf("%d balancers heard reports, %d came in answers", with, inline)
 	}
 }
+
+// A run whose faults were drawn can be played again from a script of what was drawn, and then without some of them.
+func TestDrawnFaultsMakeAScript(t *testing.T) {
+	sc := load(t, "swarm", "length=12s")
+	drawn := play(t, sc, Options{Seed: 31})
+	if len(drawn.Episodes) < 5 {
+		t.Fatalf("only %d faults were drawn", len(drawn.Episodes))
+	}
+	script := *sc
+	script.Faults = nil
+	for _, e := range drawn.Episodes {
+		script.Faults = append(script.Faults, e.Fault())
+	}
+	raw, err := json.Marshal(script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	written, err := scenario.Parse("script", raw) // as a file
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := play(t, written, Options{Seed: 31})
+	if again.Digest != drawn.Digest {
+		t.Error("the script's run is another")
+	}
+	written.Faults = written.Faults[1:]
+	fewer := play(t, written, Options{Seed: 31})
+	if fewer.Digest == drawn.Digest || len(fewer.Episodes) != len(drawn.Episodes)-1 {
+		t.Fatalf("%d faults are left", len(fewer.Episodes))
+	}
+	for i, e := range fewer.Episodes {
+		if was := drawn.Episodes[i+1]; e.Kind != was.Kind || e.From != was.From || e.To != was.To || e.Size != was.Size {
+			t.Errorf("%s at %v has become %s at %v", was.Kind, was.From, e.Kind, e.From)
+		}
+	}
+}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -51,7 +51,7 @@
 	Settled(op *Op, how Kind, at time.Duration)
 	// Wrote: a balancer has written the first byte of an attempt.
 	Wrote(balancer int, n *Node, op *Op)
-	// Knew: discovery has learned of a state. Told: it has written it to a balancer.
+	// Knew: discovery has learned of a state. Told: a line with it has reached a balancer.
 	Knew(n *Node, s State)
 	Told(balancer int, n *Node, s State)
 	// Reached says whether a balancer that runs can be told anything by discovery from now on.
@@ -82,7 +82,6 @@
 	zoneIndex map[string]int
 	byAddress map[string]int
 	lastLink  uint64
-	nodesMade int
 	nodeRng   *rand.Rand
 	workRng   *rand.Rand
 	sizeRng   *rand.Rand
@@ -98,17 +97,16 @@
 
 // Seat is the place of a balancer: its name and address stay, whatever process runs there.
 type Seat struct {
-	Index    int
-	Zone     int
-	B        Balancer
-	Up       bool
-	Term     bool // it was given notice
-	Life     int  // counts starts
-	Known    List // what it would be started with
-	asks     []*Ask
-	termAt   time.Duration
-	reached  bool
-	restarts timeline.Timer
+	Index   int
+	Zone    int
+	B       Balancer
+	Up      bool
+	Term    bool // it was given notice
+	Life    int  // counts starts
+	Known   List // what it would be started with
+	asks    []*Ask
+	termAt  time.Duration
+	reached bool
 }
 
 // New makes a world from a scenario and a seed. Attach must follow, then Open.
@@ -190,6 +188,7 @@
 		w.Addresses = append(w.Addresses, n)
 		w.byAddress[AddressName(address)] = address
 	} else {
+		n.Before = w.Addresses[address]
 		w.Addresses[address] = n
 	}
 	n.Address = address
