--- a/internal/lab/demo/page.go
+++ b/internal/lab/demo/page.go
@@ -97,7 +97,8 @@
 	if v.ending {
 		what = "ending: what was taken is finished"
 	}
-	lines = append(lines, "", p.paint(bold, what)+"      q or Ctrl-C ends all", "", "Ask it yourself, from another terminal:", "")
+	lines = append(lines, "", p.paint(bold, what)+"      q or Ctrl-C ends all", "",
+		"Ask it yourself, from another terminal:", "")
 	for _, line := range v.curl {
 		lines = append(lines, "  "+line)
 	}
@@ -123,8 +124,8 @@
 func newPlain(out io.Writer) display { return &plain{out: out} }
 
 func (p *plain) begin() {
-	fmt.Fprintln(p.out, "starting six stand-in app nodes, discovery and one balancer; s and h on standard input make an app node "+
-		"slow and heal it, q ends")
+	fmt.Fprintln(p.out, "starting six stand-in app nodes, discovery and one balancer; s and h on standard input make an "+
+		"app node slow and heal it, q ends")
 }
 
 func (p *plain) end() {}
@@ -143,6 +144,6 @@
 	if v.slowed {
 		slow = fmt.Sprintf("; %s is %d times slower and gets %.0f/s", v.slowID, slowTimes, v.nodes[slowNode].rate)
 	}
-	fmt.Fprintf(p.out, "%4.0f s: %.0f requests/s, %.1f %% served, p50 %.0f ms, p90 %.0f ms, p99 %.0f ms%s\n", v.at.Seconds(), v.rate,
-		100*v.served, ms(v.p50), ms(v.p90), ms(v.p99), slow)
+	const line = "%4.0f s: %.0f requests/s, %.1f %% served, p50 %.0f ms, p90 %.0f ms, p99 %.0f ms%s\n"
+	fmt.Fprintf(p.out, line, v.at.Seconds(), v.rate, 100*v.served, ms(v.p50), ms(v.p90), ms(v.p99), slow)
 }
--- a/internal/lab/demo/terminal.go
+++ b/internal/lab/demo/terminal.go
@@ -13,8 +13,8 @@
 	return err == nil
 }
 
-// readKeys hands on each key as it is pressed. On a terminal it turns off the waiting for a whole line and the echo, and
-// leaves signals as they are: Ctrl-C stays one. restore puts the terminal back as it was.
+// readKeys hands on each key as it is pressed. On a terminal it turns off the waiting for a whole line and the echo,
+// and leaves signals as they are: Ctrl-C stays one. restore puts the terminal back as it was.
 func readKeys(f *os.File) (keys <-chan byte, restore func()) {
 	out := make(chan byte)
 	done := make(chan struct{})
--- a/internal/lab/sockets/body.go
+++ b/internal/lab/sockets/body.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 )
 
-// An answer's body begins with a line that names the request and the answer's number, and goes on with noise from a place
-// that the number gives. So a client can tell what is its own, whole and in order.
+// An answer's body begins with a line that names the request and the answer's number, and goes on with noise from a
+// place that the number gives. So a client can tell what is its own, whole and in order.
 
 // noise is what bodies are cut from; shared, never written.
 var noise = func() []byte {
--- a/internal/lab/sockets/clients.go
+++ b/internal/lab/sockets/clients.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// flight is a client's request on its way through a balancer. It is known for a while after its end, since app nodes may
-// be sent it later than that.
+// flight is a client's request on its way through a balancer. It is known for a while after its end, since app nodes
+// may be sent it later than that.
 type flight struct {
 	seat    *seat
 	ask     *world.Ask // nil: of nobody in the world
@@ -173,8 +173,9 @@
 func (f *flight) text() []byte {
 	r, a := f.seat.run, f.ask
 	method, path := f.target()
-	out := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %x\r\nX-Class: %s\r\nX-Deadline: %du\r\n", method,
-		path, a.ID, r.world.Classes[a.Op.Class].Name, max(1, (a.Deadline-a.Sent).Microseconds()))
+	const head = "%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %x\r\nX-Class: %s\r\nX-Deadline: %du\r\n"
+	out := fmt.Appendf(nil, head, method, path, a.ID, r.world.Classes[a.Op.Class].Name,
+		max(1, (a.Deadline-a.Sent).Microseconds()))
 	if a.Op.Tenant >= 0 {
 		out = fmt.Appendf(out, "X-Tenant: %s\r\n", r.sc.Tenants[a.Op.Tenant].Name)
 	}
@@ -388,7 +389,7 @@
 		return
 	}
 	if a.whole && o.Answer == nil {
-		k.s.run.world.Seen.Broken(fmt.Sprintf("request %d is served with an answer that flowed and is not what was made", f.ask.ID))
+		k.s.run.world.Seen.Broken(fmt.Sprintf("request %d is served with a flow that is not what was made", f.ask.ID))
 	}
 	k.s.run.world.FlowEnded(f.ask, a.whole)
 }
@@ -449,6 +450,6 @@
 	if a.End != world.Finished {
 		return "no\n"
 	}
-	return fmt.Sprintf("%s: done by app node %s in zone %s, %.1f ms after it came\n", r.world.Classes[f.op.Class].Name, a.Node.ID,
-		r.sc.Zones[a.Node.Zone], float64(r.clock.Now()-f.op.Due)/1e6)
+	return fmt.Sprintf("%s: done by app node %s in zone %s, %.1f ms after it came\n", r.world.Classes[f.op.Class].Name,
+		a.Node.ID, r.sc.Zones[a.Node.Zone], float64(r.clock.Now()-f.op.Due)/1e6)
 }
--- a/internal/lab/sockets/gate.go
+++ b/internal/lab/sockets/gate.go
@@ -19,8 +19,8 @@
 	closed
 )
 
-// gate is where an app node listens for one balancer: each pair has its own, so that a line can fail for one alone and a
-// connection tells whose it is.
+// gate is where an app node listens for one balancer: each pair has its own, so that a line can fail for one alone and
+// a connection tells whose it is.
 type gate struct {
 	address string
 	accept  func(nc net.Conn)
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -134,8 +134,8 @@
 	io   sync.WaitGroup
 }
 
-// address of a part of the site in 127/8: the second byte says what it is, the last which. The third keeps processes apart,
-// so that a port that a run has given back for a while is not taken by another run.
+// address of a part of the site in 127/8: the second byte says what it is, the last which. The third keeps processes
+// apart, so that a port that a run has given back for a while is not taken by another run.
 func address(what byte, which int) net.IP {
 	return net.IPv4(127, what, byte(os.Getpid()), byte(1+which%250))
 }
