--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -31,6 +31,7 @@
 
 	Theory theoryCommand `cmd:"" help:"Hold the model of app nodes against queueing theory."`
 	Flow   flow          `cmd:"" help:"Measure answers that flow, on real processes."`
+	Demo   demoCommand   `cmd:"" help:"Show a site on this machine: app nodes, discovery, one real balancer and mild load."`
 
 	Completion completionCommand `cmd:"" help:"Print what makes a shell complete these commands."`
 	Complete   completeCommand   `cmd:"" hidden:"" passthrough:"" help:"Print what may come next on a line."`
--- a/cmd/rudderlab/main_test.go
+++ b/cmd/rudderlab/main_test.go
@@ -11,20 +11,10 @@
 	"testing"
 )
 
-// The test's program is the command itself where this is set.
-const beCommand = "RUDDERLAB_TEST_BE_COMMAND"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(beCommand) != "" {
-		main()
-	}
-	os.Exit(m.Run())
-}
-
 func lab(t *testing.T, args ...string) (status int, stdout, stderr string) {
 	t.Helper()
 	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), beCommand+"=1")
+	cmd.Env = append(os.Environ(), "BE_RUDDERLAB=1")
 	var out, errs bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &errs
 	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
@@ -58,6 +48,8 @@
 		{2, "is no range of seeds", []string{"run", "calm", "--seeds=9..1"}},
 		{2, "seeds", []string{"run", "calm", "--seeds=1..2", "--seed=1"}},
 		{2, "must be one of", []string{"run", "calm", "--on=moon"}},
+		{2, "the balancer's program decides", []string{"run", "calm", "--on=sockets", "--policy=random"}},
+		{2, "no such file", []string{"run", "calm", "--on=sockets", "--balancer=" + filepath.Join(dir, "none")}},
 		{2, "length: \"1x\" is not a time", []string{"run", "calm", "--set=length=1x"}},
 		{2, "at least two", []string{"compare", "calm", "--policy=ours", "--seeds=1..2"}},
 		{2, "expected one of", []string{}},
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -4,6 +4,7 @@
 package run
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"runtime"
@@ -16,6 +17,7 @@
 	"pewterrudder/internal/lab/policy"
 	"pewterrudder/internal/lab/result"
 	"pewterrudder/internal/lab/scenario"
+	"pewterrudder/internal/lab/sockets"
 	"pewterrudder/internal/lab/virtual"
 	"pewterrudder/internal/lab/world"
 )
@@ -53,25 +55,47 @@
 
 // Virtual makes one run in virtual time. share, where not nil, hears how far it is.
 func Virtual(job Job, share func(float64)) (*Done, error) {
-	sc := job.Scenario
-	g := &gatherer{sc: sc, to: result.NewRecorder(), share: share}
-	rec, err := virtual.Run(sc, virtual.Options{Seed: job.Seed, Recorder: g, Sample: sampleEvery(sc),
+	g := newGatherer(job, share)
+	rec, err := virtual.Run(job.Scenario, virtual.Options{Seed: job.Seed, Recorder: g, Sample: sampleEvery(job.Scenario),
 		Policy: Policy(job.Policy), Log: job.Log})
 	if err != nil {
 		return nil, err
 	}
+	return g.done(job, rec, "virtual"), nil
+}
+
+// OnSockets makes one run in real time, with processes of the balancer's program. It must have the machine for itself, so
+// one follows the other.
+func OnSockets(ctx context.Context, job Job, balancer string, share func(float64)) (*Done, error) {
+	if job.Policy != policy.Ours {
+		return nil, fmt.Errorf("run: %s: on sockets the balancer's program decides, which is %s", job.Policy, policy.Ours)
+	}
+	g := newGatherer(job, share)
+	rec, err := sockets.Run(ctx, job.Scenario, sockets.Options{Seed: job.Seed, Recorder: g, Sample: sampleEvery(job.Scenario),
+		Balancer: balancer, Log: job.Log})
+	if err != nil {
+		return nil, err
+	}
+	d := g.done(job, &rec.Record, "sockets")
+	d.Void, d.Why = rec.Void != "", rec.Void
+	return d, nil
+}
+
+// done makes the result of what a run has come to.
+func (g *gatherer) done(job Job, rec *virtual.Record, on string) *Done {
+	sc := job.Scenario
 	for _, e := range rec.Episodes {
 		g.to.Fault(e.Kind, target(sc, e), e.From-world.Lead, e.To-world.Lead)
 	}
 	c := &rec.Counts
 	d := &Done{Broken: rec.Broken, Breaks: rec.Breaks, Counts: *c}
-	d.Record = g.to.Record(result.Run{Scenario: sc.Name, Seed: job.Seed, Policy: job.Policy, On: "virtual",
+	d.Record = g.to.Record(result.Run{Scenario: sc.Name, Seed: job.Seed, Policy: job.Policy, On: on,
 		Digest: fmt.Sprintf("%016x", rec.Digest), Duplicated: int64(c.Duplicated), DrainBreaks: int64(c.DrainBreaks),
 		ColdBreaks: int64(c.ColdBreaks), Leaked: int64(c.Leaked), PeakPressure: c.Peak, Speedup: rec.Speedup})
 	// Lost are requests that a balancer had taken and left without an answer, which is the oracle's to count; a wish whose
 	// client waited in vain for a balancer that was cut off has failed, and is no balancer's break.
 	d.Lost = int64(c.Lost)
-	return d, nil
+	return d
 }
 
 // Policy gives the maker of a policy's deciders.
@@ -140,6 +164,10 @@
 	share func(float64)
 }
 
+func newGatherer(job Job, share func(float64)) *gatherer {
+	return &gatherer{sc: job.Scenario, to: result.NewRecorder(), share: share}
+}
+
 func (g *gatherer) Settled(op *world.Op, how world.Kind, at time.Duration) {
 	due := op.Due - world.Lead
 	g.to.Offered(due, op.Worth)
