--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -33,6 +33,7 @@
 	Paper  paperCommand  `cmd:"" help:"Play the experiments of the paper on bursts, beside its figures."`
 	Scale  scaleCommand  `cmd:"" help:"Measure what the size of the fleet costs in the reducer."`
 	Flow   flow          `cmd:"" help:"Measure answers that flow, on real processes."`
+	Demo   demoCommand   `cmd:"" help:"Show a site on this machine: app nodes, discovery, one real balancer and mild load."`
 
 	Completion completionCommand `cmd:"" help:"Print what makes a shell complete these commands."`
 	Complete   completeCommand   `cmd:"" hidden:"" passthrough:"" help:"Print what may come next on a line."`
--- a/cmd/rudderlab/run.go
+++ b/cmd/rudderlab/run.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"text/tabwriter"
 
 	"pewterrudder/brain"
@@ -83,12 +86,11 @@
 	JSON   bool       `name:"json" help:"Write one JSON object for each run."`
 	Out    string     `help:"Write records, tables and a page into this folder." placeholder:"DIR" type:"path"`
 	Log    string     `help:"Write every event of the one run into a file." placeholder:"FILE" type:"path"`
+
+	Balancer string `help:"The balancer's program, on sockets; else pewterrudder beside this one." placeholder:"PATH"`
 }
 
 func (c *runCommand) Run() error {
-	if c.On == "sockets" {
-		return misuseError{errors.New("--on sockets: not built into this program")}
-	}
 	sc, err := c.load()
 	if err != nil {
 		return err
@@ -118,7 +120,12 @@
 		defer file.Close()
 		jobs[0].Log = file
 	}
-	done, err := play(jobs)
+	var done []*run.Done
+	if c.On == "sockets" {
+		done, err = c.onSockets(jobs)
+	} else {
+		done, err = play(jobs)
+	}
 	if err != nil {
 		return err
 	}
@@ -133,6 +140,32 @@
 	return errors.Join(err, breaks(done))
 }
 
+// onSockets makes runs in real time, one after the other.
+func (c *runCommand) onSockets(jobs []run.Job) (done []*run.Done, err error) {
+	if c.Policy != policy.Ours {
+		return nil, misuseError{fmt.Errorf("--policy %s: on sockets the balancer's program decides, which is %s", c.Policy, policy.Ours)}
+	}
+	path, err := besides(c.Balancer)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	b := newBar()
+	defer b.clear()
+	for i, job := range jobs {
+		d, err := run.OnSockets(ctx, job, path, func(share float64) { b.show((float64(i) + share) / float64(len(jobs))) })
+		if err != nil {
+			return nil, err
+		}
+		if d.Void {
+			fmt.Fprintf(os.Stderr, "%s, seed %d is void: %s\n", d.Scenario, d.Seed, d.Why)
+		}
+		done = append(done, d)
+	}
+	return done, nil
+}
+
 // play makes runs under a bar.
 func play(jobs []run.Job) ([]*run.Done, error) {
 	b := newBar()
@@ -179,8 +212,12 @@
 
 // breaks shows what was broken, on standard error.
 func breaks(done []*run.Done) error {
-	runs := 0
+	runs, void := 0, 0
 	for _, d := range done {
+		if d.Void { // it proves nothing, either way
+			void++
+			continue
+		}
 		if d.Broken == 0 {
 			continue
 		}
@@ -192,10 +229,13 @@
 		fmt.Fprintln(os.Stderr, "  the last events before the first:")
 		printEvents(os.Stderr, d.Breaks[0].Last)
 	}
-	if runs == 0 {
-		return nil
+	switch {
+	case runs > 0:
+		return brokenError(fmt.Sprintf("%d of %d runs break a rule", runs, len(done)))
+	case void > 0:
+		return brokenError(fmt.Sprintf("%d of %d runs are void", void, len(done)))
 	}
-	return brokenError(fmt.Sprintf("%d of %d runs break a rule", runs, len(done)))
+	return nil
 }
 
 func printEvents(w io.Writer, last []world.Event) {
