--- a/internal/lab/swarm/draw.go
+++ b/internal/lab/swarm/draw.go
@@ -249,21 +249,10 @@
 				one.From, one.To = d.words(ends...), d.words(ends...)
 			}
 			sc.Faults = append(sc.Faults, one)
-			if f.Kind == "replace" || f.Kind == "deploy" {
-				d.oneCell()
-			}
 		}
 	}
 }
 
-// oneCell makes each zone one cell. The world gives what starts at a left address a cell of its own, so that an attempt
-// meant for the former would be kept by another group, which no balancer could know.
-func (d *draw) oneCell() {
-	for i := range d.sc.Nodes {
-		d.sc.Nodes[i].CellSize = 1000
-	}
-}
-
 func (d *draw) time(of scenario.Span, stretch float64) scenario.Span {
 	v := (of[0].D() + time.Duration(d.Float64()*float64(of[1]-of[0]))).Seconds() * stretch
 	if of[1] == 0 {
--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -324,7 +324,8 @@
 
 func (b *balancer) exchange(e reducer.Exchange) {
 	k := b.conns[e.Conn]
-	if k == nil {
+	if k == nil || !k.up {
+		b.run.oracle.Break(oracle.Sound, "balancer %d uses connection %d, which it has given back or not yet made", b.index, e.Conn)
 		return
 	}
 	a := e.Call.Message.(*world.Ask)
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -365,6 +365,7 @@
 		return
 	}
 	a.moved = true
+	a.Sent = c.w.Clock.Now() // what is left of its patience is told anew
 	c.send(a, 0)
 }
 
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -278,34 +278,38 @@
 	l := d.from(s.since)
 	s.since, s.last = d.rev, w.Clock.Now()
 	w.Journal.Note(w.Clock.Now(), ListWritten, uint64(s.seat.Index), uint64(l.Revision), uint64(len(l.Entries)))
+	var gone []*Node
+	if l.Complete {
+		gone = d.gone()
+	}
 	// It is told once it is there: what a cut held back may come after the balancer has given the watch up.
 	s.down(func() {
-		w.told(s.seat.Index, &l)
+		w.told(s.seat.Index, &l, gone)
 		s.to.Line(&l)
 	})
 }
 
-// told: a balancer counts as told of what is on a list, and of what is not on a whole one.
-func (w *World) told(balancer int, l *List) {
+// told: a balancer counts as told of what is on a list, and of what a whole one left out.
+func (w *World) told(balancer int, l *List, gone []*Node) {
 	for i := range l.Entries {
 		if !l.Complete {
 			w.Journal.Note(w.Clock.Now(), ToldOf, uint64(balancer), uint64(l.Entries[i].Node.Index), uint64(l.Entries[i].State))
 		}
 		w.Seen.Told(balancer, l.Entries[i].Node, l.Entries[i].State)
 	}
-	if l.Complete {
-		w.toldWhole(balancer)
+	for _, n := range gone {
+		w.Seen.Told(balancer, n, Gone)
 	}
 }
 
-// toldWhole: what is not on a whole list is told to be gone.
-func (w *World) toldWhole(balancer int) {
-	d := w.Discovery
+// gone are those that a whole list leaves out now.
+func (d *Discovery) gone() (nodes []*Node) {
 	for i := range d.entries {
 		if e := d.shown(&d.entries[i]); e.State == Gone {
-			w.Seen.Told(balancer, e.Node, Gone)
+			nodes = append(nodes, e.Node)
 		}
 	}
+	return nodes
 }
 
 func (d *Discovery) tellAll() {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -189,6 +189,7 @@
 		w.byAddress[AddressName(address)] = address
 	} else {
 		n.Before = w.Addresses[address]
+		n.Cell = n.Before.Cell // a place and its stores stay where they are, whatever process runs there
 		w.Addresses[address] = n
 	}
 	n.Address = address
