--- a/internal/lab/planted/faults.go
+++ b/internal/lab/planted/faults.go
@@ -44,11 +44,10 @@
 		New: `	case none:
 		r.end(d, brain.ConnectFailed, nil)`,
 		Rules: []string{"effects"}},
-	{Name: "connection-kept", About: "connections to app nodes that are gone stay open", File: "internal/reducer/fleet.go",
-		Old: `	r.ordered = r.ordered[:len(r.ordered)-1]
-	r.doom(s)`,
-		New:   `	r.ordered = r.ordered[:len(r.ordered)-1]`,
-		Rules: []string{"leaks"}},
+	{Name: "connection-kept", About: "the connection of a flow whose client has left stays open, and its end meets nobody", File: "internal/reducer/delegations.go",
+		Old:   `		if k.state == busy || k.state == flowing {`,
+		New:   `		if k.state == busy {`,
+		Rules: []string{"sound"}},
 	{Name: "body-sent-twice", About: "an upload whose body is gone is sent again", File: "internal/reducer/delegations.go",
 		Old:   `	if c.OneShot && slices.ContainsFunc(`,
 		New:   `	if c.OneShot && len(c.delegations) > 9 && slices.ContainsFunc(`,
