--- /dev/null
+++ b/internal/routes/bench_test.go
@@ -0,0 +1,81 @@
+package routes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+type matcher interface {
+	Match(host, path, method, class string) int
+}
+
+// hot asks for 64 routes again and again, as most days do; scattered asks for all, so that large tables pay for the
+// processor's caches too.
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{10, 1000, 10_000} {
+		rules, calls := mixed(n)
+		table, err := Compile(rules, []string{"p"}, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		rnd := rand.New(rand.NewPCG(3, 4))
+		asked := make([]call, 1<<14)
+		for i := range asked {
+			asked[i] = calls[rnd.IntN(n)]
+		}
+		for _, way := range []struct {
+			name string
+			m    matcher
+		}{{"trie", table}, {"lengths", newByLength(table)}} {
+			for _, of := range []struct {
+				name string
+				mask int
+			}{{"hot", 63}, {"scattered", len(asked) - 1}} {
+				b.Run(fmt.Sprintf("%s/%s/%d", way.name, of.name, n), func(b *testing.B) {
+					b.ReportAllocs()
+					i := 0
+					for b.Loop() {
+						c := &asked[i&of.mask]
+						i++
+						if way.m.Match(c.host, c.path, c.method, c.class) == None {
+							b.Fatal(c)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+func BenchmarkPool(b *testing.B) {
+	for _, n := range []int{1, 2, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var names []string
+			var to []Share
+			for i := range n {
+				names = append(names, fmt.Sprint("p", i))
+				to = append(to, Share{names[i], 1})
+			}
+			table, err := Compile([]Rule{{To: to}}, names, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			key := uint64(0)
+			for b.Loop() {
+				key++
+				table.Pool(0, key)
+			}
+		})
+	}
+}
+
+func BenchmarkCompile(b *testing.B) {
+	rules, _ := mixed(10_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Compile(rules, []string{"p"}, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routes/twin_test.go
@@ -0,0 +1,214 @@
+package routes
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"pgregory.net/rapid"
+)
+
+// call is what is asked of a table.
+type call struct{ host, path, method, class string }
+
+// The twin scans the rules one by one, in words of its own: the documented order and nothing else.
+
+func (c call) matches(r Rule) bool {
+	ascii := func(s string) string { return strings.NewReplacer("A", "a", "B", "b", "X", "x").Replace(s) } // all that is used
+	host, domain := ascii(c.host), ascii(r.Host)
+	if domain, wild := strings.CutPrefix(domain, "*."); wild {
+		first, rest, _ := strings.Cut(host, ".")
+		if first == "" || rest != domain {
+			return false
+		}
+	} else if domain != "" && domain != host {
+		return false
+	}
+	want, have := strings.Split(strings.TrimSuffix(r.Prefix, "/"), "/"), strings.Split(c.path, "/")
+	if len(want) > 1 && (len(have) < len(want) || !slices.Equal(have[:len(want)], want)) {
+		return false
+	}
+	return (r.Methods == nil || slices.Contains(r.Methods, c.method)) && (r.Class == "" || r.Class == c.class)
+}
+
+// rank is how specific a rule is; the greater goes first.
+func rank(r Rule) (k [4]int) {
+	switch {
+	case strings.HasPrefix(r.Host, "*."):
+		k[0] = 1
+	case r.Host != "":
+		k[0] = 2
+	}
+	k[1] = len(strings.TrimSuffix(r.Prefix, "/"))
+	if r.Methods != nil {
+		k[2] = 1
+	}
+	if r.Class != "" {
+		k[3] = 1
+	}
+	return k
+}
+
+// scan gives the entry for a call, and whether another one matches it with the same rank.
+func scan(rules []Rule, c call) (best int, tie bool) {
+	best = None
+	for i, r := range rules {
+		if !c.matches(r) {
+			continue
+		}
+		if best == None {
+			best = i
+			continue
+		}
+		a, b := rank(r), rank(rules[best])
+		switch slices.Compare(a[:], b[:]) {
+		case 1:
+			best, tie = i, false
+		case 0:
+			tie = true
+		}
+	}
+	return best, tie
+}
+
+var (
+	someHosts    = []string{"", "a.x", "B.x", "*.x", "*.a.x"}
+	somePrefixes = []string{"", "/", "/a", "/a/b", "/a/b/a/b", "/ab", "/a%2Fb", "/b"}
+	someMethods  = []string{"GET", "POST", "PUT"}
+	someClasses  = []string{"read", "book"}
+
+	askHosts   = []string{"", "a.x", "A.X", "b.x", "c.x", ".x", "x", "a.a.x", "q.a.x", "a.b.x"}
+	askPaths   = []string{"", "*", "/", "/a", "/a/", "/ab", "/a/b", "/a/bc", "/a//b", "/a/./b", "/a/b/a", "/a/b/a/b", "/a/b/a/bb", "/a/b/a/b/c", "/a%2Fb", "/a%2fb", "/%61", "/a/../b", "/b/c"}
+	askMethods = []string{"GET", "POST", "PUT", "get", ""}
+)
+
+func drawRule(t *rapid.T) Rule {
+	r := Rule{Host: rapid.SampledFrom(someHosts).Draw(t, "host"), Prefix: rapid.SampledFrom(somePrefixes).Draw(t, "prefix"),
+		Class: rapid.SampledFrom(append([]string{""}, someClasses...)).Draw(t, "class"), To: []Share{{"p", 1}}}
+	for _, m := range someMethods {
+		if rapid.IntRange(0, 3).Draw(t, m) == 0 {
+			r.Methods = append(r.Methods, m)
+		}
+	}
+	return r
+}
+
+// everyCall is all that tells such rules apart, and more; class is one of those named.
+func everyCall(classes []string, do func(call)) {
+	for _, h := range askHosts {
+		for _, p := range askPaths {
+			for _, m := range askMethods {
+				for _, c := range classes {
+					do(call{h, p, m, c})
+				}
+			}
+		}
+	}
+}
+
+// byLength is the other way to search that was weighed: a map of whole prefixes for each host, asked from the longest
+// length that the host has down. It is here as a second twin and to be measured beside the trie.
+type byLength struct {
+	exact, wild map[string]*lengths
+	every       *lengths
+}
+
+type lengths struct {
+	has []bool // by number of segments
+	at  map[string]arms
+}
+
+func newByLength(t *Table) *byLength {
+	l := &byLength{exact: map[string]*lengths{}, wild: map[string]*lengths{}}
+	copyOf := func(root *node) *lengths {
+		to := &lengths{at: map[string]arms{}}
+		var walk func(n *node, at string)
+		walk = func(n *node, at string) {
+			at += n.tail
+			if !n.arms.none() {
+				k := strings.Count(at, "/")
+				for len(to.has) <= k {
+					to.has = append(to.has, false)
+				}
+				to.has[k], to.at[at] = true, n.arms
+			}
+			for segment, kid := range n.kids {
+				walk(kid, at+"/"+segment)
+			}
+		}
+		walk(root, "")
+		return to
+	}
+	for d, n := range t.exact {
+		l.exact[d] = copyOf(n)
+	}
+	for d, n := range t.wild {
+		l.wild[d] = copyOf(n)
+	}
+	if t.every != nil {
+		l.every = copyOf(t.every)
+	}
+	return l
+}
+
+func (l *byLength) Match(host, path, method, class string) int {
+	var buf [maxHost]byte
+	name := fold(&buf, host)
+	for _, at := range [...]*lengths{l.exact[string(name)], l.wild[string(parent(name))], l.every} {
+		if at != nil {
+			if e := at.find(path, method, class); e != None {
+				return e
+			}
+		}
+	}
+	return None
+}
+
+func (l *lengths) find(path, method, class string) int {
+	var ends [64]int
+	n := 0
+	if path != "" && path[0] == '/' {
+		for i := 1; i <= len(path) && n+1 < len(l.has); i++ {
+			if i == len(path) || path[i] == '/' {
+				n++
+				ends[n] = i
+			}
+		}
+	}
+	for ; n >= 0; n-- {
+		if n < len(l.has) && l.has[n] {
+			if a, ok := l.at[path[:ends[n]]]; ok {
+				if e := a.find(method, class); e != None {
+					return e
+				}
+			}
+		}
+	}
+	return None
+}
+
+// mixed is a table of a given size and the calls for it. Whatever the size, a call meets the same number of segments and
+// the same mix of hosts: of ten routes six have a host of their own or share it with a few, two a domain, two no host.
+func mixed(n int) (rules []Rule, calls []call) {
+	for i := range n {
+		r := Rule{Name: fmt.Sprint("r", i), To: []Share{{"p", 1}}}
+		c := call{method: "GET", class: "read"}
+		switch group := i / 10; {
+		case i%10 < 6:
+			r.Host = fmt.Sprintf("shop-%d.yard.example", group)
+			c.host = r.Host
+		case i%10 < 8:
+			r.Host = fmt.Sprintf("*.region-%d.yard.example", group)
+			c.host = fmt.Sprintf("b.region-%d.yard.example", group)
+		default:
+			c.host = "elsewhere.example"
+		}
+		r.Prefix = fmt.Sprintf("/team-%d", i)
+		for _, s := range []string{"/v1", "/orders", "/open"}[:i%4] {
+			r.Prefix += s
+		}
+		c.path = r.Prefix + "/9b1f03aa"
+		rules, calls = append(rules, r), append(calls, c)
+	}
+	return rules, calls
+}
