--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -334,7 +334,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"the settings file", c.Service == next.Service}} {
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"the settings file", reflect.DeepEqual(c.Service, next.Service)}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
@@ -374,6 +374,13 @@
 	if c.Brain, err = c.Settings.Brain(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	var classes []string
+	for i := range c.Brain.Classes {
+		classes = append(classes, c.Brain.Classes[i].Name)
+	}
+	if _, err = c.Service.Table(classes); err != nil {
+		return fmt.Errorf("settings file: %w", err)
+	}
 	if c.Brain.IdleClose <= 0 {
 		return errors.New("settings: conf: limits.idle_close_ms must be above zero")
 	}
