--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -30,8 +30,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var rules []Rule
 		var table *Table
-		for range rapid.IntRange(1, 30).Draw(t, "tries") { // those that make no table are left out
-			next := append(slices.Clip(rules), drawRule(t))
+		crowded := rapid.Bool().Draw(t, "crowded")         // so that one host and prefix has more than a few
+		for range rapid.IntRange(1, 40).Draw(t, "tries") { // those that make no table are left out
+			r := drawRule(t)
+			if crowded {
+				if r.Host, r.Prefix = "a.x", "/a"; len(r.Methods) > 1 {
+					r.Methods = r.Methods[:1]
+				}
+			}
+			next := append(slices.Clip(rules), r)
 			if made, err := Compile(next, []string{"p"}, nil); err == nil {
 				rules, table = next, made
 			}
@@ -41,8 +48,11 @@
 		}
 		other := newByLength(table)
 		for range 60 {
-			agree(t, table, other, rules, call{rapid.SampledFrom(askHosts).Draw(t, "host"), rapid.SampledFrom(askPaths).Draw(t, "path"),
-				rapid.SampledFrom(askMethods).Draw(t, "method"), rapid.SampledFrom([]string{"read", "book", "bulk", ""}).Draw(t, "class")})
+			host, path := rapid.SampledFrom(askHosts).Draw(t, "host"), rapid.SampledFrom(askPaths).Draw(t, "path")
+			if crowded {
+				host, path = "a.x", "/a/7"
+			}
+			agree(t, table, other, rules, call{host, path, rapid.SampledFrom(askMethods).Draw(t, "method"), rapid.SampledFrom([]string{"read", "book", "bulk", ""}).Draw(t, "class")})
 		}
 	})
 }
@@ -103,9 +113,9 @@
 }
 
 func TestPathsAreTakenAsTheyCame(t *testing.T) {
-	table, err := Compile([]Rule{{Host: "a.yard.example", Prefix: "/booking", To: []Share{{"p", 1}}},
-		{Host: "*.yard.example", Prefix: "/booking", To: []Share{{"p", 1}}},
-		{Host: "[::1]", To: []Share{{"p", 1}}}}, []string{"p"}, nil)
+	p, longest := []Share{{"p", 1}}, strings.Repeat("x.", 126)+"x"
+	table, err := Compile([]Rule{{Host: "a.yard.example", Prefix: "/booking", To: p}, {Host: "*.yard.example", Prefix: "/booking", To: p},
+		{Host: "[::1]", To: p}, {Host: longest, To: p}}, []string{"p"}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +130,7 @@
 		{"a.yard.example", "/Booking", None}, {"a.yard.example", "*", None}, {"a.yard.example", "http://a.yard.example", None},
 		{"A.Yard.Example:8080", "/booking", 0}, {"a.yard.example.", "/booking", 0}, {"a.yard.example.:80", "/booking", 0},
 		{"b.yard.example", "/booking", 1}, {"c.b.yard.example", "/booking", None}, {"yard.example", "/booking", None}, {".yard.example", "/booking", None},
-		{"[::1]", "*", 2}, {"[::1]:80", "/", 2}, {"::1", "/", None}, {strings.Repeat("a", 300) + ".yard.example", "/booking", None}, {"", "/booking", None},
+		{"[::1]", "*", 2}, {"[::1]:80", "/", 2}, {"::1", "/", None}, {longest, "/", 3}, {longest + "x", "/", None}, {"", "/booking", None},
 	} {
 		if got := table.Match(c.host, PathOf(c.target), "GET", ""); got != c.want {
 			t.Errorf("%s %s: %d, want %d", c.host, c.target, got, c.want)
@@ -172,10 +182,11 @@
 }
 
 func TestWhatPeopleAreTold(t *testing.T) {
+	methods := []string{"PUT", "POST"}
 	table, err := Compile([]Rule{
 		{Name: "rest", To: []Share{{"all", 1}}},
 		{Name: "canary", Host: "*.yard.example", Prefix: "/booking", To: []Share{{"old", 95}, {"new", 5}}},
-		{Name: "writes", Host: "*.yard.example", Prefix: "/booking", Methods: []string{"PUT", "POST"}, To: []Share{{"old", 1}}},
+		{Name: "writes", Host: "*.yard.example", Prefix: "/booking", Methods: methods, To: []Share{{"old", 1}}},
 		{Name: "office", Host: "office.yard.example", Class: "bulk", To: []Share{{"all", 1}}},
 	}, []string{"all", "old", "new"}, nil)
 	if err != nil {
@@ -186,8 +197,8 @@
 routes[1] "canary": *.yard.example, /booking, any method, any class -> old 95 %, new 5 %
 routes[0] "rest": any host, any path, any method, any class -> all
 `
-	if got := table.Describe(); got != want || table.String() != "4 routes" {
-		t.Errorf("%s\n%s", table, got)
+	if got := table.Describe(); got != want || table.String() != "4 routes" || methods[0] != "PUT" {
+		t.Errorf("%s\n%s, of %v", table, got, methods)
 	}
 	want = `POST office.yard.example/booking/7, class "read"
   goes by routes[2] "writes": *.yard.example, /booking, POST|PUT, any class -> old
@@ -203,6 +214,18 @@
 	}
 }
 
+// Matching is the same without it; what it saves is memory and steps.
+func TestPathsWithoutABranchAreOneStep(t *testing.T) {
+	p := []Share{{"p", 1}}
+	table, err := Compile([]Rule{{Prefix: "/a/b/c/d", To: p}, {Prefix: "/a/b/c/d/e/f", To: p}, {Prefix: "/x/y/z", To: p}, {Prefix: "/x/y/w", To: p}}, []string{"p"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := table.every; n.kids["a"].tail != "/b/c/d" || n.kids["a"].kids["e"].tail != "/f" || n.kids["x"].tail != "/y" || n.kids["x"].kids["z"] == nil {
+		t.Errorf("%+v", n.kids)
+	}
+}
+
 func FuzzTable(f *testing.F) {
 	for _, s := range [][5]string{
 		{"a.x /a GET read\n*.x /a - -\n- / - -", "a.x", "/a/b", "GET", "read"},
--- a/internal/routes/twin_test.go
+++ b/internal/routes/twin_test.go
@@ -86,7 +86,7 @@
 	someClasses  = []string{"read", "book"}
 
 	askHosts   = []string{"", "a.x", "A.X", "b.x", "c.x", ".x", "x", "a.a.x", "q.a.x", "a.b.x"}
-	askPaths   = []string{"", "*", "/", "/a", "/a/", "/ab", "/a/b", "/a/bc", "/a//b", "/a/./b", "/a/b/a", "/a/b/a/b", "/a/b/a/bb", "/a/b/a/b/c", "/a%2Fb", "/a%2fb", "/%61", "/a/../b", "/b/c"}
+	askPaths   = []string{"", "*", "*a", "/", "/a", "/a/", "/ab", "/a/b", "/a/bc", "/a//b", "/a/./b", "/a/b/a", "/a/b/a/b", "/a/b/a/bb", "/a/b/a/b/c", "/a%2Fb", "/a%2fb", "/%61", "/a/../b", "/b/c"}
 	askMethods = []string{"GET", "POST", "PUT", "get", ""}
 )
 
