Divide the fleet by routes, pools and zones of the settings file, also on reload

Need: a site that serves bookings and the back office from one balancer had no way to say so. Change: routes, pools and zones of the settings file become the reducer's layout; a reload puts new ones in force with calls in flight, a fault in them is named and changes nothing. Without them all is as before: one pool, no zones.

--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -76,7 +76,11 @@
 		}
 	}
 	clientBudget, keptBudget, delegationBudget := cfg.Limits.Budget()
-	state, err := reducer.New(cfg.Brain, cfg.Prng, delegationBudget)
+	divided, err := layout(cfg)
+	if err != nil {
+		return fmt.Errorf("settings file: %w", err)
+	}
+	state, err := reducer.NewLaid(cfg.Brain, cfg.Prng, delegationBudget, divided)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -151,7 +155,20 @@
 				log.Printf("reload: %s has changed, which takes a restart", key)
 			}
 			log.Printf("reload: discovery is %s", next.Discovery)
-			post(reducer.Reloaded{Discovery: next.Discovery})
+			moved := reducer.Reloaded{Discovery: next.Discovery}
+			if !samePools(cfg, next) {
+				divided, err := layout(next)
+				if err != nil {
+					log.Printf("reload: settings file: %v; the old pools stay", err)
+				} else {
+					moved.Layout = &divided
+					cfg.Service.Routes, cfg.Service.Pools, cfg.Service.Zones = next.Service.Routes, next.Service.Pools, next.Service.Zones
+				}
+			}
+			post(moved)
+			if moved.Layout != nil { // from here on calls go by the new ones
+				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(moved.Layout.Pools))
+			}
 		case <-term:
 			log.Print("draining")
 			term = nil   // once is enough
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -334,7 +334,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"the settings file", reflect.DeepEqual(c.Service, next.Service)}} {
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"flow, in the settings file,", c.Service.Flow == next.Service.Flow}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
@@ -381,6 +381,9 @@
 	if _, err = c.Service.Table(classes); err != nil {
 		return fmt.Errorf("settings file: %w", err)
 	}
+	if _, err = c.Service.Zones.In(&c.Brain); err != nil {
+		return fmt.Errorf("settings file: %w", err)
+	}
 	if c.Brain.IdleClose <= 0 {
 		return errors.New("settings: conf: limits.idle_close_ms must be above zero")
 	}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -20,6 +20,7 @@
 	Flow   Flow    `json:"flow"`
 	Routes []Route `json:"routes"` // none: every call goes to the default pool
 	Pools  []Pool  `json:"pools"`  // none: one, with every app node
+	Zones  Zones   `json:"zones"`  // of every pool
 }
 
 // Flow bounds the bodies that pass through without being held whole.
@@ -96,6 +97,9 @@
 			return fmt.Errorf("flow.%s: %v lies outside %v to %v: %s", k.key, k.v, k.lo, k.hi, k.because)
 		}
 	}
+	if err := s.Zones.check(); err != nil {
+		return err
+	}
 	return s.checkRoutes()
 }
 
