--- a/internal/routes/compile.go
+++ b/internal/routes/compile.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,7 +13,7 @@
 // answers with. classes are all those that calls can have; none given, nothing is taken for granted of them. An error
 // names the entry at fault by its place, and the other one where two are.
 func Compile(rules []Rule, pools, classes []string) (*Table, error) {
-	t := &Table{entries: make([]entry, len(rules)), exact: map[string]*node{}, wild: map[string]*node{}}
+	t := &Table{entries: make([]entry, len(rules))}
 	places := map[string]int{}
 	for i, p := range pools {
 		places[p] = i
@@ -47,12 +46,20 @@
 			return nil, fmt.Errorf("%s can never match: %s before it in each class", t.label(i), t.goFirst(by))
 		}
 	}
+	var first [everyHost + 1]branch
 	for s, g := range groups {
-		t.root(s).add(s.prefix, shape(g))
+		b := &first[everyHost]
+		if s.kind != anyHost {
+			b = first[s.kind].kid(s.domain)
+		}
+		b.add(s.prefix, g)
 	}
-	for _, n := range t.roots() {
-		n.compress()
+	for _, kinds := range []map[string]*branch{first[hosts].kids, first[domains].kids, {"": &first[everyHost]}} {
+		for _, b := range kinds {
+			b.compress()
+		}
 	}
+	t.trie = lay(&first[hosts], &first[domains], &first[everyHost])
 	t.order = make([]int, len(rules))
 	for i := range t.order {
 		t.order[i] = i
@@ -134,51 +141,6 @@
 	return at
 }
 
-func (t *Table) root(s spot) *node {
-	at := t.exact
-	switch s.kind {
-	case anyHost:
-		if t.every == nil {
-			t.every = new(node)
-		}
-		return t.every
-	case oneLabel:
-		at = t.wild
-	}
-	if at[s.domain] == nil {
-		at[s.domain] = new(node)
-	}
-	return at[s.domain]
-}
-
-func (t *Table) roots() []*node {
-	all := slices.Concat(slices.Collect(maps.Values(t.exact)), slices.Collect(maps.Values(t.wild)))
-	if t.every != nil {
-		all = append(all, t.every)
-	}
-	return all
-}
-
-// shape gives the arms of a group the form that is searched.
-func shape(g map[arm]int) (a arms) {
-	if e, ok := g[arm{}]; ok {
-		a.rest = e + 1
-		delete(g, arm{})
-	}
-	if len(g) > fewArms {
-		a.many = g
-		return a
-	}
-	for x, e := range g {
-		a.few = append(a.few, armed{x, e})
-	}
-	slices.SortFunc(a.few, func(x, y armed) int {
-		return cmp.Or(named(x.method, y.method), named(x.class, y.class),
-			cmp.Compare(x.method, y.method), cmp.Compare(x.class, y.class))
-	})
-	return a
-}
-
 // named puts what is named before what is left open.
 func named(a, b string) int {
 	switch {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -84,24 +84,23 @@
 	Weight float64 // in relation to the others'; 0: none now
 }
 
-// None stands for an entry where none matches. That it is one before the first is made use of.
+// None stands for an entry where none matches.
 const None = -1
 
 // Table is a set of routes that has been checked. It never changes, and may be read from everywhere at once.
 type Table struct {
-	entries     []entry // by their places among the rules
-	order       []int   // the same by precedence, for people
-	exact, wild map[string]*node
-	every       *node // host: any
+	entries []entry // by their places among the rules
+	order   []int   // the same by precedence, for people
+	trie    *trie
 }
 
-// kind is how exact an entry is about the host; the lower goes first.
-type kind uint8
+// kind is how exact an entry is about the host; the lower goes first. They are the trie's first nodes, too.
+type kind int32
 
 const (
-	oneHost kind = iota
-	oneLabel
-	anyHost
+	oneHost  = kind(hosts)
+	oneLabel = kind(domains)
+	anyHost  = kind(everyHost)
 )
 
 // entry is a rule with its host and prefix in the form that is compared.
@@ -118,26 +117,22 @@
 // Match says which entry a call goes by, or None. host is the Host field's value, path the path as the client sent it
 // (PathOf finds it in a request's target). The entry's pool for the call is Pool's to tell.
 func (t *Table) Match(host, path, method, class string) int {
-	if len(t.exact)+len(t.wild) > 0 {
-		var buf [maxHost]byte // a string of it would be an allocation; a look into a map by one is not
+	n := t.trie.nodes
+	if n[hosts].kids || n[domains].kids {
+		var buf [maxHost]byte // a string of it would be an allocation
 		name := fold(&buf, host)
-		if n := t.exact[string(name)]; n != nil {
-			if e := n.find(path, method, class); e != None {
+		if at := t.trie.host(hosts, name); at != 0 {
+			if e := t.trie.find(at, path, method, class); e != None {
 				return e
 			}
 		}
-		if len(t.wild) > 0 {
-			if n := t.wild[string(parent(name))]; n != nil {
-				if e := n.find(path, method, class); e != None {
-					return e
-				}
+		if at := t.trie.host(domains, parent(name)); at != 0 {
+			if e := t.trie.find(at, path, method, class); e != None {
+				return e
 			}
 		}
 	}
-	if t.every == nil {
-		return None
-	}
-	return t.every.find(path, method, class)
+	return t.trie.find(everyHost, path, method, class)
 }
 
 // fold writes a Host field's name in lower case, without the port and without the root's dot. What is longer than a
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -234,9 +234,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, a, x := table.every, table.every.kids["a"], table.every.kids["x"]
-	if a.tail != "/b/c/d" || a.kids["e"].tail != "/f" || x.tail != "/y" || x.kids["z"] == nil {
-		t.Errorf("%+v", n.kids)
+	var laid []string
+	for _, n := range table.trie.nodes[everyHost+1:] {
+		laid = append(laid, n.name+n.tail)
+	}
+	if want := []string{"a/b/c/d", "e/f", "x/y", "w", "z"}; !slices.Equal(laid, want) {
+		t.Errorf("%q, want %q", laid, want)
 	}
 }
 
--- a/internal/routes/trie.go
+++ b/internal/routes/trie.go
@@ -1,18 +1,70 @@
 package routes
 
-import "strings"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// trie holds the paths of all hosts in two slices, for the sake of the processor's caches: a step down reads a place of
+// steps, a node and the name that it is reached by, however large the table is.
+type trie struct {
+	nodes []node
+	steps []step // by hash, with the next free place for those that meet; a power of two, at most half full
+}
 
 // node is a place in the paths of one host: that of one or more entries, or where their prefixes part.
 type node struct {
-	tail string // what has to follow the segment that led here, slash first; whole segments
-	arms arms
-	kids map[string]*node // by the next segment
+	name string // the segment, host or domain that leads here from above
+	tail string // what has to follow it, slash first; whole segments
+	more *arms  // the entries that name a method or a class
+	rest int32  // 1 more than the entry for every method and class; most nodes have no other
+	kids bool
+}
+
+// step leads from a node to the next. The names are the operator's alone, so that no client can have them meet.
+type step struct {
+	hash uint64
+	to   int32 // 0: free
+}
+
+// The first nodes. The hosts' own ones are reached from these as segments are from theirs.
+const (
+	hosts int32 = iota
+	domains
+	everyHost
+)
+
+// apart has the same name lead elsewhere from each node: 2^64 over the golden ratio (Knuth, volume 3, section 6.4).
+const apart = 0x9e3779b97f4a7c15
+
+// down finds the node that a name leads to; 0: none.
+func down[S string | []byte](t *trie, from int32, hash uint64, name S) int32 {
+	hash ^= uint64(from) * apart
+	for i := hash; ; i++ {
+		s := &t.steps[i&uint64(len(t.steps)-1)]
+		if s.to == 0 || s.hash == hash && t.nodes[s.to].name == string(name) {
+			return s.to
+		}
+	}
 }
 
-// find walks down a path as far as there are prefixes for it, and keeps the last entry met.
-func (n *node) find(path, method, class string) int {
+// host finds the node of a host or a domain.
+func (t *trie) host(from int32, name []byte) int32 {
+	if !t.nodes[from].kids {
+		return 0
+	}
+	return down(t, from, xxhash.Sum64(name), name)
+}
+
+// find walks down a path from a host's node as far as there are prefixes for it, and keeps the last entry met.
+func (t *trie) find(at int32, path, method, class string) int {
 	best := None
 	for {
+		n := &t.nodes[at]
 		if n.tail != "" {
 			if !strings.HasPrefix(path, n.tail) {
 				return best
@@ -21,49 +73,55 @@
 				return best
 			}
 		}
-		if e := n.arms.find(method, class); e != None {
+		if e := n.entry(method, class); e != None {
 			best = e
 		}
-		if n.kids == nil || path == "" || path[0] != '/' {
+		if !n.kids || path == "" || path[0] != '/' {
 			return best
 		}
 		segment, rest := path[1:], ""
 		if i := strings.IndexByte(segment, '/'); i >= 0 {
 			segment, rest = segment[:i], segment[i:]
 		}
-		if n = n.kids[segment]; n == nil {
+		if at = down(t, at, xxhash.Sum64String(segment), segment); at == 0 {
 			return best
 		}
 		path = rest
 	}
 }
 
-// add hangs the entries of one prefix in, a node for each segment.
-func (n *node) add(prefix string, a arms) {
-	for prefix != "" {
-		segment, rest := prefix[1:], ""
-		if i := strings.IndexByte(segment, '/'); i >= 0 {
-			segment, rest = segment[:i], segment[i:]
-		}
-		kid := n.kids[segment]
-		if kid == nil {
-			kid = new(node)
-			if n.kids == nil {
-				n.kids = map[string]*node{}
-			}
-			n.kids[segment] = kid
+// branch is a node while the trie grows.
+type branch struct {
+	tail  string
+	group map[arm]int
+	kids  map[string]*branch
+}
+
+func (b *branch) kid(name string) *branch {
+	if b.kids == nil {
+		b.kids = map[string]*branch{}
+	}
+	if b.kids[name] == nil {
+		b.kids[name] = new(branch)
+	}
+	return b.kids[name]
+}
+
+// add hangs the entries of one prefix in, a branch for each segment.
+func (b *branch) add(prefix string, group map[arm]int) {
+	if prefix != "" {
+		for segment := range strings.SplitSeq(prefix[1:], "/") {
+			b = b.kid(segment)
 		}
-		n, prefix = kid, rest
 	}
-	n.arms = a
+	b.group = group
 }
 
-// compress joins nodes that have one way on and no entries with the next. The first one of a host stays: it has no
-// segment that leads to it.
-func (n *node) compress() {
-	for segment, kid := range n.kids {
+// compress joins branches that have one way on and no entries with the next. A host's own stays: its paths begin after it.
+func (b *branch) compress() {
+	for segment, kid := range b.kids {
 		tail := ""
-		for kid.arms.none() && len(kid.kids) == 1 {
+		for kid.group == nil && len(kid.kids) == 1 {
 			for next, only := range kid.kids {
 				tail += "/" + next
 				kid = only
@@ -71,18 +129,51 @@
 		}
 		kid.tail = tail
 		kid.compress()
-		n.kids[segment] = kid
+		b.kids[segment] = kid
+	}
+}
+
+// lay puts branches into a trie; the first are those of the constants above. Below one node all lie together.
+func lay(first ...*branch) *trie {
+	t := &trie{nodes: make([]node, len(first))}
+	from := make([]int32, len(first))
+	var put func(at int32, b *branch)
+	put = func(at int32, b *branch) {
+		n := &t.nodes[at]
+		n.tail, n.kids = b.tail, len(b.kids) > 0
+		n.more, n.rest = shape(b.group)
+		for _, name := range slices.Sorted(maps.Keys(b.kids)) {
+			to := int32(len(t.nodes))
+			t.nodes, from = append(t.nodes, node{name: name}), append(from, at)
+			put(to, b.kids[name])
+		}
+	}
+	for i, b := range first {
+		put(int32(i), b)
+	}
+	size := 2
+	for size < 2*len(t.nodes) {
+		size *= 2
 	}
+	t.steps = make([]step, size)
+	for to := len(first); to < len(t.nodes); to++ {
+		hash := xxhash.Sum64String(t.nodes[to].name) ^ uint64(from[to])*apart
+		i := hash
+		for t.steps[i&uint64(size-1)].to != 0 {
+			i++
+		}
+		t.steps[i&uint64(size-1)] = step{hash, int32(to)}
+	}
+	return t
 }
 
 // arm is a method and a class of an entry; empty ones match all.
 type arm struct{ method, class string }
 
-// arms are what the entries of one host and one prefix match, each but once.
+// arms are what the entries of one host and one prefix match that name a method or a class, each but once.
 type arms struct {
 	few  []armed // by precedence
 	many map[arm]int
-	rest int // 1 more than the entry for every method and class, in a node's own cache line: most have no other
 }
 
 type armed struct {
@@ -93,20 +184,44 @@
 // fewArms is how many are compared one by one. Eight take 36 ns, the looks into a map 84; from sixteen on the map wins.
 const fewArms = 8
 
-func (a *arms) none() bool { return a.few == nil && a.many == nil && a.rest == 0 }
-
-func (a *arms) find(method, class string) int {
-	for i := range a.few {
-		if x := &a.few[i]; (x.method == "" || x.method == method) && (x.class == "" || x.class == class) {
-			return x.entry
+// entry is the first of a node's that matches.
+func (n *node) entry(method, class string) int {
+	if n.more != nil {
+		for i := range n.more.few {
+			if x := &n.more.few[i]; (x.method == "" || x.method == method) && (x.class == "" || x.class == class) {
+				return x.entry
+			}
 		}
-	}
-	if a.many != nil {
-		for _, x := range [...]arm{{method, class}, {method, ""}, {"", class}} {
-			if e, ok := a.many[x]; ok {
-				return e
+		if n.more.many != nil {
+			for _, x := range [...]arm{{method, class}, {method, ""}, {"", class}} {
+				if e, ok := n.more.many[x]; ok {
+					return e
+				}
 			}
 		}
 	}
-	return a.rest - 1
+	return int(n.rest) - 1
+}
+
+// shape gives a group the form that is searched.
+func shape(group map[arm]int) (more *arms, rest int32) {
+	if e, ok := group[arm{}]; ok {
+		rest = int32(e) + 1
+		delete(group, arm{})
+	}
+	switch {
+	case len(group) > fewArms:
+		return &arms{many: group}, rest
+	case len(group) == 0:
+		return nil, rest
+	}
+	more = new(arms)
+	for x, e := range group {
+		more.few = append(more.few, armed{x, e})
+	}
+	slices.SortFunc(more.few, func(x, y armed) int {
+		return cmp.Or(named(x.method, y.method), named(x.class, y.class),
+			cmp.Compare(x.method, y.method), cmp.Compare(x.class, y.class))
+	})
+	return more, rest
 }
--- a/internal/routes/twin_test.go
+++ b/internal/routes/twin_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 )
 
@@ -125,40 +126,45 @@
 
 type lengths struct {
 	has []bool // by number of segments
-	at  map[string]arms
+	at  map[string]*node
 }
 
 func newByLength(t *Table) *byLength {
-	l := &byLength{exact: map[string]*lengths{}, wild: map[string]*lengths{}}
-	copyOf := func(root *node) *lengths {
-		to := &lengths{at: map[string]arms{}}
-		var walk func(n *node, at string)
-		walk = func(n *node, at string) {
-			at += n.tail
-			if !n.arms.none() {
-				k := strings.Count(at, "/")
-				for len(to.has) <= k {
-					to.has = append(to.has, false)
-				}
-				to.has[k], to.at[at] = true, n.arms
-			}
-			for segment, kid := range n.kids {
-				walk(kid, at+"/"+segment)
+	l := &byLength{exact: map[string]*lengths{}, wild: map[string]*lengths{}, every: &lengths{at: map[string]*node{}}}
+	for _, e := range t.entries {
+		to := l.every
+		if at := map[kind]map[string]*lengths{oneHost: l.exact, oneLabel: l.wild}[e.kind]; at != nil {
+			if at[e.domain] == nil {
+				at[e.domain] = &lengths{at: map[string]*node{}}
 			}
+			to = at[e.domain]
 		}
-		walk(root, "")
-		return to
-	}
-	for d, n := range t.exact {
-		l.exact[d] = copyOf(n)
+		k := strings.Count(e.Prefix, "/")
+		for len(to.has) <= k {
+			to.has = append(to.has, false)
+		}
+		to.has[k], to.at[e.Prefix] = true, t.node(e.spot())
 	}
-	for d, n := range t.wild {
-		l.wild[d] = copyOf(n)
+	return l
+}
+
+// node finds the node of entries, by the trie's own ways.
+func (t *Table) node(s spot) *node {
+	at := everyHost
+	if s.kind != anyHost {
+		at = t.trie.host(int32(s.kind), []byte(s.domain))
 	}
-	if t.every != nil {
-		l.every = copyOf(t.every)
+	for path := s.prefix; ; {
+		n := &t.trie.nodes[at]
+		if path = strings.TrimPrefix(path, n.tail); path == "" {
+			return n
+		}
+		segment, rest, _ := strings.Cut(path[1:], "/")
+		if path = ""; rest != "" {
+			path = "/" + rest
+		}
+		at = down(t.trie, at, xxhash.Sum64String(segment), segment)
 	}
-	return l
 }
 
 func (l *byLength) Match(host, path, method, class string) int {
@@ -188,7 +194,7 @@
 	for ; n >= 0; n-- {
 		if n < len(l.has) && l.has[n] {
 			if a, ok := l.at[path[:ends[n]]]; ok {
-				if e := a.find(method, class); e != None {
+				if e := a.entry(method, class); e != None {
 					return e
 				}
 			}
