--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,7 @@
 
 	sampleMin   = 12              // servers: well beyond power-of-d choices, yet warm for a quiet node
 	samplePer   = 1.5             // servers per own request in flight: room to spread without new connections
+	lookMost    = 1000            // servers looked at for one request that the sample holds nobody for
 	rotateEvery = 8 * time.Second // the worst of the sample gives way to an outsider
 
 	reportLag   = 0.3  // seconds: by so much a load report may lag behind what this node has sent meanwhile
@@ -344,14 +345,14 @@
 
 const cookieAsk, cookieParked, cookieOverdue = 1, 2, 3
 
-// followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread
-// by the seed, and each failure doubles the pause before the next.
+// followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread by
+// the seed; after a failure comes a pause, 3 s at most, since what it misses counts as told after 6 s.
 func (n *Node) followDiscovery(k UpdateKind) {
 	switch {
 	case k == UpdateRestored:
 		n.armAsk(time.Duration(n.rng.Float64() * float64(min(n.cfg.Rules.AskEvery/8, time.Second))))
 	case k == UpdateAskFailed:
-		pause := min(time.Second<<min(n.askFails, 4), max(n.cfg.Rules.AskEvery, time.Second))
+		pause := time.Second << min(n.askFails, 1)
 		n.askFails++
 		n.armAsk(pause/2 + time.Duration(n.rng.Float64()*float64(pause)))
 	default:
@@ -379,7 +380,7 @@
 		}
 	}
 	n.rank = keep
-	want := max(sampleMin, int(samplePer*n.busyMean))
+	want := max(sampleMin, int(samplePer*max(n.busyMean, float64(n.busy))))
 	if n.now >= n.rotateAt && len(n.rank) >= want && len(n.fleet) > len(n.rank) {
 		n.rotateAt = n.now + rotateEvery
 		worst := n.rank[len(n.rank)-1]
@@ -486,10 +487,7 @@
 			count++
 		}
 	}
-	if count > 0 {
-		mean = sum / count
-	}
-	return mean, n.coverage()
+	return sum / max(1, count), n.coverage()
 }
 
 // coverage is how many nodes are expected to have a given server in their sample.
@@ -741,6 +739,9 @@
 // the servers that drop its repeats and while they remember it (keyed). Never twice to the same server.
 func (n *Node) mayRepeatAt(r *request, s *server) bool {
 	c := &n.classes[r.Class]
+	if r.First != 0 && r.First&s.Bit == 0 {
+		return false
+	}
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if a.srv == s {
@@ -788,7 +789,7 @@
 		}
 	}
 	from := n.rng.IntN(len(n.fleet))
-	for i := range n.fleet {
+	for i := range min(len(n.fleet), lookMost) {
 		if s := n.fleet[(from+i)%len(n.fleet)]; (n.warmth(s) >= 1 || len(n.rank) == 0) && n.allowed(s, r) &&
 			n.inTime(s, r) {
 			return s
@@ -824,7 +825,7 @@
 
 // dispatch sends a request to the picked server, or holds it while that makes sense.
 func (n *Node) dispatch(r *request) {
-	if len(r.attempts) >= n.cfg.MaxAttempts || n.now >= r.Deadline-answerMargin {
+	if len(r.attempts) >= n.cfg.MaxAttempts || n.now >= r.Deadline-answerMargin || r.First == Nowhere {
 		n.giveUp(r)
 		return
 	}
@@ -856,7 +857,7 @@
 	if n.warmth(s) >= 1 {
 		n.sends++
 	}
-	r.out++
+	r.out, r.First = r.out+1, r.Later // what bounds the next
 	r.attempts = append(r.attempts, attempt{srv: s, sent: n.now, load: s.figure, size: size})
 	n.emit(Action{Kind: Send, ID: r.ID, Server: s.Server})
 	c := &n.classes[r.Class]
@@ -872,10 +873,8 @@
 func (n *Node) onTimer(cookie uint64) {
 	switch cookie {
 	case cookieAsk:
-		if n.askArmed {
-			n.askArmed = false
-			n.emit(Action{Kind: Subscribe})
-		}
+		n.askArmed = false
+		n.emit(Action{Kind: Subscribe})
 	case cookieParked:
 		n.ticking = false
 		n.retryParked()
