--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -40,21 +40,21 @@
 // One trie of segments for each host, one for each domain, one for any host; nodes without a branch are joined. A call
 // walks down three of them at most, no further than there are prefixes for its path, and keeps the last entry met. The
 // other way weighed keeps a map of whole prefixes for each host, and asks it once for each length that the host has,
-// from the longest down. Both were measured with the benchmark of the tests (ns for a match, medians of nine, Xeon,
-// other work on the machine):
+// from the longest down. Both were measured with the benchmark of the tests (ns for a match, the least of fifteen
+// rounds on a Xeon that others used too):
 //
 //	                     10 routes   1,000   10,000
-//	trie, 64 hot routes        104      93      109
-//	      all at random        100     163      237
-//	      deep paths            86      90       99
-//	maps, 64 hot routes        141     138      154
-//	      all at random        145     237      201
-//	      deep paths           223     235      218
-//
-// The steps are the same at every size; what is left to grow where all routes are asked at random, 0.1 µs, are misses
-// of the processor's caches. The maps pay for every length that any route of the host has, the trie for the segments that it
-// shares with the path, and so one long route slows down none but its own calls. The trie it is. Nothing is allocated
-// for a match.
+//	trie, 64 hot routes         92      91       92
+//	      all at random         98     106      145
+//	      deep paths            89      86       97
+//	maps, 64 hot routes        137     149      149
+//	      all at random        133     173      186
+//	      deep paths           228     233      247
+//
+// The steps are the same at every size; what is left to grow where all routes are asked at random are misses of the
+// processor's caches. With a Go map in each node they were 196 ns at 10,000, which is why the trie lies in two slices.
+// The maps pay for every length that any route of the host has, the trie for the segments that it shares with the path,
+// and so one long route slows down none but its own calls. The trie it is. Nothing is allocated for a match.
 //
 // # Splits
 //
@@ -84,24 +84,23 @@
 	Weight float64 // in relation to the others'; 0: none now
 }
 
-// None stands for an entry where none matches. That it is one before the first is made use of.
+// None stands for an entry where none matches.
 const None = -1
 
 // Table is a set of routes that has been checked. It never changes, and may be read from everywhere at once.
 type Table struct {
-	entries     []entry // by their places among the rules
-	order       []int   // the same by precedence, for people
-	exact, wild map[string]*node
-	every       *node // host: any
+	entries []entry // by their places among the rules
+	order   []int   // the same by precedence, for people
+	trie    *trie
 }
 
-// kind is how exact an entry is about the host; the lower goes first.
-type kind uint8
+// kind is how exact an entry is about the host; the lower goes first. They are the trie's first nodes, too.
+type kind int32
 
 const (
-	oneHost kind = iota
-	oneLabel
-	anyHost
+	oneHost  = kind(hosts)
+	oneLabel = kind(domains)
+	anyHost  = kind(everyHost)
 )
 
 // entry is a rule with its host and prefix in the form that is compared.
@@ -118,26 +117,22 @@
 // Match says which entry a call goes by, or None. host is the Host field's value, path the path as the client sent it
 // (PathOf finds it in a request's target). The entry's pool for the call is Pool's to tell.
 func (t *Table) Match(host, path, method, class string) int {
-	if len(t.exact)+len(t.wild) > 0 {
-		var buf [maxHost]byte // a string of it would be an allocation; a look into a map by one is not
+	n := t.trie.nodes
+	if n[hosts].kids || n[domains].kids {
+		var buf [maxHost]byte // a string of it would be an allocation
 		name := fold(&buf, host)
-		if n := t.exact[string(name)]; n != nil {
-			if e := n.find(path, method, class); e != None {
+		if at := t.trie.host(hosts, name); at != 0 {
+			if e := t.trie.find(at, path, method, class); e != None {
 				return e
 			}
 		}
-		if len(t.wild) > 0 {
-			if n := t.wild[string(parent(name))]; n != nil {
-				if e := n.find(path, method, class); e != None {
-					return e
-				}
+		if at := t.trie.host(domains, parent(name)); at != 0 {
+			if e := t.trie.find(at, path, method, class); e != None {
+				return e
 			}
 		}
 	}
-	if t.every == nil {
-		return None
-	}
-	return t.every.find(path, method, class)
+	return t.trie.find(everyHost, path, method, class)
 }
 
 // fold writes a Host field's name in lower case, without the port and without the root's dot. What is longer than a
