Reset what is given up, so that no call arrives after its copies are forgotten

A one-way cut held the first attempt in the kernel; it was given up and made elsewhere; when the cut ended the kernel sent it on, past the time for which repeats are dropped. Change: a connection that is closed with a call on it is reset, which drops what the kernel has not got through. The lab's network does the same.

--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -97,13 +97,18 @@
 		return
 	}
 	delete(c.conns, e.Conn)
-	if k.nc != nil {
-		k.nc.Close()
-	}
 	k.mu.Lock()
 	close(k.gone)
 	lent, job := k.flow, k.job
 	k.mu.Unlock()
+	if k.nc != nil {
+		if job != nil {
+			// A call that is given up must not arrive later: what the kernel has not got through, as in a cut that is mended,
+			// would be sent on after a close, and run when its copies elsewhere are forgotten. A reset drops it.
+			k.nc.(*net.TCPConn).SetLinger(0)
+		}
+		k.nc.Close()
+	}
 	if lent != nil {
 		lent.Break(net.ErrClosed)
 	}
--- a/internal/delegation/flow_test.go
+++ b/internal/delegation/flow_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -342,3 +343,18 @@
 		t.Fatal("the writer still waits for the client")
 	}
 }
+
+// A call that is given up is reset, so that no part of it is sent on later; a connection at rest is closed in peace.
+func TestACallThatIsGivenUpIsReset(t *testing.T) {
+	for _, busy := range []bool{true, false} {
+		k := newLink(t)
+		if busy {
+			k.send([]byte("skip"))
+			k.asked()
+		}
+		k.set.Close(reducer.Close{Conn: 1})
+		if _, err := k.read.ReadByte(); errors.Is(err, syscall.ECONNRESET) != busy {
+			t.Errorf("busy %v: %v", busy, err)
+		}
+	}
+}
--- a/internal/lab/world/net.go
+++ b/internal/lab/world/net.go
@@ -215,6 +215,7 @@
 	body     timeline.Timer // the rest of an answer that flows
 	wholeAt  time.Duration  // when the last byte of the request has left
 	torn     bool           // the balancer closed before
+	stuck    bool           // a cut holds the request, which is in the sender's kernel until it has been acknowledged
 }
 
 type parcelKind uint8
@@ -262,6 +263,7 @@
 	}
 	path := n.path(a, b)
 	if n.cuts[path] > 0 {
+		l.stuck = l.stuck || kind == pRequest
 		n.held[path] = append(n.held[path], func(later time.Duration) { n.ship(p, n.delay(a, b)+more+later) })
 		return
 	}
@@ -296,7 +298,8 @@
 	w := l.world
 	now := w.Clock.Now()
 	l.Busy = true
-	l.torn, l.wholeAt = false, now+time.Duration(max(0, op.Upload-firstFlow)/l.net.rate)
+	l.torn, l.stuck = false, false
+	l.wholeAt = now + time.Duration(max(0, op.Upload-firstFlow)/l.net.rate)
 	j := &l.own
 	if len(l.jobs) > 0 || j.To != nil { // no balancer should, and then the answers come in this order
 		j = new(Job)
@@ -328,7 +331,7 @@
 		return
 	}
 	l.here = false
-	l.torn = !l.Whole()
+	l.torn = !l.Whole() || l.stuck // the program resets what it gives up, so that nothing is sent again
 	l.world.Journal.Note(l.world.Clock.Now(), LinkEnded, uint64(l.Balancer), uint64(l.Node.Index), l.ID)
 	l.post(pHang, true, 0)
 	l.gone()
