Let the settings file name the sources of the list, and what of it is believed

The section roster: sources in order of trust with kind, role, addresses and ages, how long ends hold, the guard on lists that lose most of their entries, and suspects.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -334,7 +334,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"the settings file", c.Service == next.Service}} {
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"the settings file", reflect.DeepEqual(c.Service, next.Service)}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -17,7 +17,8 @@
 // Service is what an installation sets for itself, beside what its platform tells it: a file of JSON with comments,
 // every key of which may be left out. deploy/settings.json shows them all with their defaults.
 type Service struct {
-	Flow Flow `json:"flow"`
+	Flow   Flow   `json:"flow"`
+	Roster Roster `json:"roster"`
 }
 
 // Flow bounds the bodies that pass through without being held whole.
@@ -33,7 +34,7 @@
 // DefaultService is in force where no file says otherwise. Answers over 64 KiB flow, since app nodes send them on the
 // platform as well; uploads over 64 KiB are turned away, as its protocol has it.
 func DefaultService() Service {
-	return Service{Flow: Flow{
+	return Service{Roster: defaultRoster(), Flow: Flow{
 		MaxAnswerBytes: 16 << 20, // the days' longest are 1 MB; what says that it has gigabytes is broken
 		MemoryShare:    0.1875,   // 6 MiB of the smallest machine's 32: 96 slow clients, 48 answers at their beginning
 		WaitMs:         250,      // what is held passes on within milliseconds, unless all clients read slowly
@@ -64,6 +65,7 @@
 	}
 	in := json.NewDecoder(bytes.NewReader(plain))
 	in.DisallowUnknownFields()
+	s.Roster.Sources = nil // a list that is told takes the place of the default, and must not be mixed with it
 	if err := in.Decode(s); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
@@ -71,10 +73,16 @@
 		}
 		return err
 	}
+	if s.Roster.Sources == nil {
+		s.Roster.Sources = defaultRoster().Sources
+	}
 	return s.check()
 }
 
 func (s *Service) check() error {
+	if err := s.Roster.check(); err != nil {
+		return err
+	}
 	f := &s.Flow
 	for _, k := range []struct {
 		key     string
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +16,7 @@
 		t.Fatal(err)
 	}
 	var s Service // nothing filled in: a key that the example lacks would differ
-	if err := s.read(raw); err != nil || s != DefaultService() {
+	if err := s.read(raw); err != nil || !reflect.DeepEqual(s, DefaultService()) {
 		t.Errorf("%+v, %v; the defaults are %+v", s, err, DefaultService())
 	}
 	if f := s.Flow; f.Room(Limits{MemoryMB: 32}) != 6<<20 || f.Wait() != 250*time.Millisecond || f.ClientIdle() != 2*time.Second || f.Stall() != 0 {
