--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -21,6 +21,7 @@
 	Routes []Route `json:"routes"` // none: every call goes to the default pool
 	Pools  []Pool  `json:"pools"`  // none: one, with every app node
 	Zones  Zones   `json:"zones"`  // of every pool
+	Roster Roster  `json:"roster"`
 }
 
 // Flow bounds the bodies that pass through without being held whole.
@@ -36,7 +37,7 @@
 // DefaultService is in force where no file says otherwise. Answers over 64 KiB flow, since app nodes send them on the
 // platform as well; uploads over 64 KiB are turned away, as its protocol has it.
 func DefaultService() Service {
-	return Service{Flow: Flow{
+	return Service{Roster: defaultRoster(), Flow: Flow{
 		MaxAnswerBytes: 16 << 20, // the days' longest are 1 MB; what says that it has gigabytes is broken
 		MemoryShare:    0.1875,   // 6 MiB of the smallest machine's 32: 96 slow clients, 48 answers at their beginning
 		WaitMs:         250,      // what is held passes on within milliseconds, unless all clients read slowly
@@ -61,12 +62,13 @@
 }
 
 func (s *Service) read(raw []byte) error {
-	plain, err := hujson.Standardize(raw)
+	plain, err := hujson.Standardize(bytes.Clone(raw)) // it writes over comments in place
 	if err != nil {
 		return err // with line and column
 	}
 	in := json.NewDecoder(bytes.NewReader(plain))
 	in.DisallowUnknownFields()
+	s.Roster.Sources = nil // a list that is told takes the place of the default, and must not be mixed with it
 	if err := in.Decode(s); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
@@ -75,10 +77,16 @@
 		}
 		return err
 	}
+	if s.Roster.Sources == nil {
+		s.Roster.Sources = defaultRoster().Sources
+	}
 	return s.check()
 }
 
 func (s *Service) check() error {
+	if err := s.Roster.check(); err != nil {
+		return err
+	}
 	f := &s.Flow
 	for _, k := range []struct {
 		key     string
