Show the loop of two zones and one to five balancers to keep the bound and come back

A fluid model with late, noisy reports in virtual time: the other zone is never sent more than its bound, orders outlive looks, and a cold zone has its calls back within a minute. Found by it: a return starved of answers to judge by, and a room that a step without reports made smaller and smaller.

--- a/internal/zones/health.go
+++ b/internal/zones/health.go
@@ -40,7 +40,7 @@
 	// Returning: answers count as good as before within these.
 	lateMore  = 0.05 // share of answers in time that may be missing
 	worseMost = 1.5  // times the time that they took before
-	judgeFrom = 5    // answers; with fewer the room does not grow
+	judgeFrom = 5    // answers; a step waits for them
 	badMost   = 4    // bad steps in a row that end the return
 
 	latOver  = 0.02 // weight of one answer in what is learned of times
--- a/internal/zones/room.go
+++ b/internal/zones/room.go
@@ -29,13 +29,13 @@
 	trickle    = 0.01 // of its capacity: a zone always gets so much, or no report would ever come
 
 	backFirst = 0.1 // of its share of the capacity: the first room of a zone that returns
-	backGrow  = 1.6 // times what it was sent: the most that a room grows in a step of a return
+	backGrow  = 2.0 // times what it was sent: the most that a room grows in a step of a return
 	backWarm  = 0.95
-	backRoom  = 5 * time.Second // without a call turned away, or one taken: the bound binds no longer
+	easeAfter = 5 * time.Second // without a call turned away, or one taken: the bound binds no longer
 
 	// The bucket: a second's room in parts. Classes worth least find room while it is above 0, the dearest until it is
 	// debt seconds of room below. So dear calls have first claim without anybody's knowing how many will come.
-	credit = 0.1
+	credit = 0.2
 	debt   = 0.5
 )
 
@@ -222,23 +222,34 @@
 			s.note(zone, "busy %.0f%%: it cannot carry what comes", 100*z.busy)
 		}
 		return
-	case own && s.now-z.turnedAt > backRoom, s.now-z.takenAt > backRoom && s.now-z.turnedAt > backRoom:
+	case own && s.now-z.turnedAt > easeAfter, s.now-z.takenAt > easeAfter && s.now-z.turnedAt > easeAfter:
 		s.atEase(zone)
 		return
 	}
 	used := z.used / (s.now - z.stepFrom).Seconds()
 	known := z.busyKnown && s.now-z.busyAt < s.cfg.Settle
+	if !known && z.state == returning {
+		z.stepAt = s.now + s.cfg.Settle/4
+		return
+	}
 	if !known {
 		s.setRoom(z, max(used, z.room/2))
 		return
 	}
-	room := used + stepGain*s.spare(zone, z.busy)
+	gain := stepGain
+	if z.turnedAt < z.stepFrom {
+		gain = 1 // the bound did not bind, so that nothing has been learned of it that could be overdone
+	}
+	room := used + gain*s.spare(zone, z.busy)
 	if z.busy > s.cfg.Fill && !own {
 		room = min(room, used*s.aim(zone)/z.busy)
 	}
 	if z.state == returning {
-		room = s.grow(zone, used, room)
-		if z.state == dark {
+		if z.answers < judgeFrom && z.failures == 0 {
+			z.stepAt = s.now + s.cfg.Settle/4 // too few to judge by: they are waited for
+			return
+		}
+		if room = s.grow(zone, used, room); z.state == dark {
 			return
 		}
 	}
@@ -250,18 +261,16 @@
 	z := &s.zones[zone]
 	switch {
 	case z.failures > 0 && float64(z.failures) > 0.02*(z.answers+float64(z.failures)),
-		z.answers >= judgeFrom && z.timed < (z.intime-lateMore)*z.answers,
-		z.answers >= judgeFrom && z.worse > worseMost/z.warmth()*z.answers:
+		z.timed < (z.intime-lateMore)*z.answers,
+		z.worse > worseMost/z.warmth()*z.answers:
 		if z.bad++; z.bad >= badMost {
 			s.darken(zone, "its answers are worse than before")
 			return 0
 		}
-		return min(room, used/2)
-	case z.answers < judgeFrom:
-		return min(room, z.room)
+		return min(room, max(used/2, s.backRoom(zone)))
 	}
 	z.bad = 0
-	if z.warmth() > backWarm && (z.busy > s.aim(zone)-fillMargin || s.now-z.turnedAt > backRoom) {
+	if z.warmth() > backWarm && (z.busy > s.aim(zone)-fillMargin || s.now-z.turnedAt > easeAfter) {
 		s.well(zone) // as much as it is given on probation; from here on it is as any other
 	}
 	return min(room, max(backGrow*used, z.room))
@@ -296,10 +305,15 @@
 		s.atEase(zone)
 		return
 	}
-	s.setRoom(z, backFirst*s.aim(zone)*z.capacity/float64(s.cfg.Balancers))
+	s.setRoom(z, s.backRoom(zone))
 	s.note(zone, "answers again: a share goes back")
 }
 
+// backRoom is the room that a return begins with.
+func (s *State) backRoom(zone int) float64 {
+	return backFirst * s.aim(zone) * s.zones[zone].capacity / float64(s.cfg.Balancers)
+}
+
 // shrink follows a loss of capacity at once, since reports would show it a second later.
 func (s *State) shrink(zone int, was float64) {
 	z := &s.zones[zone]
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -103,7 +103,9 @@
 			case lost && b != Bound{}:
 				t.Fatalf("every zone is bad and the bound is %+v", b)
 			case b.Trial:
-				i := slices.IndexFunc(s.zones, func(z zone) bool { return b.First == 1<<slices.IndexFunc(cfg.Zones, func(v string) bool { return v == z.name }) })
+				i := slices.IndexFunc(s.zones, func(z zone) bool {
+					return b.First == 1<<slices.IndexFunc(cfg.Zones, func(v string) bool { return v == z.name })
+				})
 				if class != 0 || s.zones[i].state != dark || trialAt[i] > 0 && now-trialAt[i] < trialEvery {
 					t.Fatalf("a trial of zone %d by class %d after %v", i, class, now-trialAt[i])
 				}
