--- a/internal/zones/health.go
+++ b/internal/zones/health.go
@@ -156,6 +156,10 @@
 			s.report(z, min(util, 1), queue)
 		}
 	}
+	if o == Cancelled && took < s.usual(zone, class) {
+		// Another copy was faster, and this one was not due: it says nothing of the zone.
+		z.sentN, z.decidedN = max(0, z.sentN-1), max(0, z.decidedN-1)
+	}
 	s.failed(zone, o)
 	if z.state == dark {
 		s.proof(zone, o, inTime)
@@ -200,6 +204,15 @@
 	}
 }
 
+// usual is the time within which most answers of a class come; where a zone has hardly been used, as in the own one.
+func (s *State) usual(zone, class int) time.Duration {
+	p := &s.zones[zone].pace[class]
+	if !p.seen {
+		p = &s.zones[s.cfg.Own].pace[class]
+	}
+	return time.Duration((p.mean + latDevs*p.dev) * float64(time.Second))
+}
+
 // failed watches for a zone that answers, and answers nothing but failures.
 func (s *State) failed(zone int, o Outcome) {
 	z, bad := &s.zones[zone], 0.0
--- a/internal/zones/room.go
+++ b/internal/zones/room.go
@@ -21,7 +21,7 @@
 
 	// fillMargin is kept below the bound: it takes up the noise of reports (3 to 10% each, and what a second's load
 	// differs from its mean) and the steps of balancers that are out of step with each other.
-	fillMargin = 0.07
+	fillMargin = 0.08
 	firstGain  = 0.7  // of the spare seen that a first room takes: answers come rather from the less busy app nodes
 	stepGain   = 0.5  // of the spare that a later step takes
 	blindBusy  = 0.6  // a zone of which nothing is known counts as this busy, where the own zone tells nothing
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -49,11 +49,11 @@
 
 // Defaults of the limits, with their reasons.
 const (
-	// fill leaves a zone that takes spill the tenth and more that its own clients' bursts need; queues of a single
-	// server double between 0.7 and 0.85 (M/M/1) and again up to 0.92.
-	fill = 0.85
+	// fill leaves a zone that takes spill the tenth that its own clients' bursts need: beyond it queues of a single
+	// server are ten deep (M/M/1).
+	fill = 0.9
 	// spillFrom lies above fill: zones that are both busy must not send calls past each other.
-	spillFrom = 0.92
+	spillFrom = 0.95
 	// silentFor is several times what a healthy node takes and longer than the stalls seen in service (130 ms), yet a
 	// third of the shortest deadline, so that calls caught by it can still be repeated.
 	silentFor = 200 * time.Millisecond
