Follow the hold on cold app nodes, so that a return loses no calls

A zone that warms was bound more than the module lets through to cold app nodes, and its calls waited there until they were given up: a quarter of the worth for ten seconds.

--- a/internal/zones/health.go
+++ b/internal/zones/health.go
@@ -91,7 +91,8 @@
 	room           float64 // cores
 	level          float64 // of the bucket, core-seconds
 	levelAt        time.Duration
-	owed           int           // calls bound for it and not yet sent
+	owed, owedRank int // calls bound for it and not yet sent; the rank of the dearest
+	owedAt         time.Duration
 	used           float64       // core-seconds sent since the last step
 	turnedAt       time.Duration // a call found no room
 	takenAt        time.Duration // one did
@@ -105,7 +106,7 @@
 }
 
 func newZone(name string, classes int) zone {
-	return zone{name: name, intime: 1, pace: make([]pace, classes), strikes: -1}
+	return zone{name: name, intime: 1, pace: make([]pace, classes), strikes: -1, owedRank: classes}
 }
 
 // open says whether calls may be meant for the zone at all.
--- a/internal/zones/room.go
+++ b/internal/zones/room.go
@@ -36,7 +36,11 @@
 	// The bucket: a second's room in parts. Classes worth least find room while it is above 0, the dearest until it is
 	// debt seconds of room below. So dear calls have first claim without anybody's knowing how many will come.
 	credit = 0.2
-	debt   = 0.5
+	// heldFor: a call that was bound for a zone that warms and is not sent at once is held by who picks app nodes, for
+	// none of the cold ones may have it now. Nothing worth as little follows it until it is sent, or this long after
+	// the last: what cannot be carried there may still have room elsewhere.
+	heldFor = 150 * time.Millisecond
+	debt    = 0.5
 )
 
 // report enters a load report.
@@ -123,6 +127,12 @@
 	if z.blind && (z.fresh >= freshFrom || z.fresh > 0 && s.now-z.stepFrom > freshMost) {
 		s.see(zone)
 	}
+	if z.owed > 0 && s.now-z.owedAt > heldFor {
+		z.owed, z.owedRank = 0, len(s.classes) // refused long since
+	}
+	if z.limited && (z.cold > 0 || z.state == returning) && z.owed > 0 && s.classes[class].rank >= z.owedRank {
+		return -1
+	}
 	s.fillUp(z)
 	floor := 0.0
 	if n := len(s.classes) - 1; n > 0 {
@@ -137,6 +147,7 @@
 	s.waiting(z)
 	z.decidedN++
 	z.owed++
+	z.owedRank, z.owedAt = min(z.owedRank, s.classes[class].rank), s.now
 	z.takenAt = s.now
 	if z.limited {
 		z.level -= s.cost(class)
@@ -161,7 +172,9 @@
 	}
 	switch {
 	case z.owed > 0:
-		z.owed--
+		if z.owed--; z.owed == 0 {
+			z.owedRank = len(s.classes)
+		}
 	case z.limited:
 		s.fillUp(z)
 		z.level -= s.cost(class)
@@ -175,7 +188,7 @@
 	z.limited, z.room = true, max(room, trickle*z.capacity/float64(s.cfg.Balancers))
 	z.level = max(z.level, -debt*z.room)
 	z.levelAt = s.now
-	z.used, z.owed = 0, 0
+	z.used = 0
 	z.answers, z.timed, z.worse, z.failures = 0, 0, 0, 0
 	z.stepFrom, z.stepAt = s.now, s.now+s.cfg.Settle
 }
