--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -324,3 +324,102 @@
 		t.Errorf("%.0f%% of the calls left", 100*share)
 	}
 }
+
+func TestZoneThatFailsEverythingIsAsGoodAsDark(t *testing.T) {
+	s := made(t, twoZones(1))
+	serve(s, 0, 5*time.Second, 12*ms)
+	for now := 5 * time.Second; now < 7*time.Second; now += 12 * ms {
+		s.Arrived(now, 0)
+		s.Sent(now, 0, 0)
+		s.Ended(now+2*ms, 0, 0, Errored, 2*ms, false, 0.1, 0)
+	}
+	if b := s.Arrived(7*time.Second, 1); b.First == 1 {
+		t.Errorf("%+v, to a zone that has failed all for 2 s", b)
+	}
+}
+
+// Copies that are called off because another was faster are no silence.
+func TestCopiesCalledOffSayNothing(t *testing.T) {
+	s := made(t, twoZones(1))
+	serve(s, 0, 5*time.Second, 12*ms)
+	s.Sent(5*time.Second, 1, 0)
+	s.Ended(5*time.Second+10*ms, 1, 0, OK, 10*ms, true, 0.4, 0)
+	for now := 5 * time.Second; now < 15*time.Second; now += 200 * ms {
+		serve(s, now, now+200*ms, 12*ms)
+		s.Sent(now+200*ms, 1, 0)
+		s.Ended(now+205*ms, 1, 0, Cancelled, 5*ms, false, -1, 0)
+	}
+	if s.zones[1].state != well {
+		t.Error(s.Describe())
+	}
+}
+
+// comes gives a state whose own zone has just answered its trials, all members cold.
+func comes(t *testing.T) (*State, time.Duration) {
+	s := made(t, twoZones(1))
+	serve(s, 0, 20*time.Second, 12*ms)
+	now := 20*time.Second + goesDark(t, s, 20*time.Second, 12*ms)
+	s.Members(now, 0, 2, 4, 4)
+	return s, now + backAfter(t, s, now)
+}
+
+// A return goes on only while answers are good, and never by more than twice at a step.
+func TestReturnGrowsWithGoodAnswersOnly(t *testing.T) {
+	for _, good := range []bool{true, false} {
+		s, now := comes(t)
+		first := s.zones[0].room
+		last := first
+		for end := now + 15*time.Second; now < end; now += 2 * ms {
+			b := s.Arrived(now, 0)
+			if b.First == 2 {
+				s.Sent(now, 1, 0)
+				s.Ended(now+ms, 1, 0, OK, 10*ms, true, 0.2, 0)
+			}
+			if b.First == 1 {
+				s.Sent(now, 0, 0)
+				if o := OK; good || now%(100*ms) > 20*ms {
+					s.Ended(now+ms, 0, 0, o, 10*ms, true, 0.05, 0)
+				} else {
+					s.Ended(now+ms, 0, 0, ConnectFailed, 75*ms, false, -1, 0)
+				}
+			}
+			room := s.zones[0].room
+			if room > 2.3*last {
+				t.Fatalf("room %.3f after %.3f", room, last)
+			}
+			last = room
+			if !good && room > first*1.01 && s.zones[0].state == returning {
+				t.Fatalf("the room grew from %.3f to %.3f while connects fail", first, room)
+			}
+		}
+		if good && last < 4*first {
+			t.Errorf("the room is %.3f after 15 good seconds, from %.3f", last, first)
+		}
+	}
+}
+
+// A call that is held for want of an app node that is warm enough keeps others from following it there.
+func TestHeldCallsStopTheReturn(t *testing.T) {
+	s, now := comes(t)
+	now += 100 * ms
+	held := -1
+	for i := range 100 {
+		b := s.Arrived(now+time.Duration(i)*ms, 0)
+		switch {
+		case b.First == 1 && held < 0:
+			held = i // and not sent
+		case b.First == 1:
+			t.Fatalf("call %d follows %d, which is held", i, held)
+		}
+	}
+	if held < 0 {
+		t.Fatal("none went there")
+	}
+	s.Sent(now+100*ms, 0, 0)
+	for i := range 100 {
+		if b := s.Arrived(now+time.Duration(100+10*i)*ms, 0); b.First == 1 {
+			return
+		}
+	}
+	t.Error("none goes there any more")
+}
