--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -423,3 +423,14 @@
 	}
 	t.Error("none goes there any more")
 }
+
+func BenchmarkCall(b *testing.B) {
+	s := made(b, twoZones(3))
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * 12 * ms
+		s.Arrived(now, i%2)
+		s.Sent(now, 0, i%2)
+		s.Ended(now+10*ms, 0, i%2, OK, 10*ms, true, 0.5, 1)
+	}
+}
