--- a/internal/lab/zonelab/view.go
+++ b/internal/lab/zonelab/view.go
@@ -28,6 +28,7 @@
 type second struct {
 	wishes        int
 	asked, earned float64
+	rest, restGot float64   // the same of what is not the lost pool's
 	worth, work   []float64 // asked, by class; work in core-seconds
 }
 
@@ -40,6 +41,7 @@
 // view gathers one run: from the recorder what clients got, from the log what app nodes were sent.
 type view struct {
 	sc      *scenario.Scenario
+	lost    func(*world.Op) bool // whether a wish is the lost pool's; nil: there are no pools
 	seconds []second
 	nodes   [][]slice // by node and slice
 }
@@ -61,14 +63,17 @@
 	s.asked += op.Worth
 	s.worth[op.Class] += op.Worth
 	s.work[op.Class] += op.Work / 1000
-	c := &v.sc.Classes[op.Class]
+	c, got := &v.sc.Classes[op.Class], 0.0
 	if how == world.Served {
-		if at-op.Due <= c.Aim.D() {
-			s.earned += op.Worth
-		} else {
-			s.earned += op.Worth * c.Late
+		if got = op.Worth; at-op.Due > c.Aim.D() {
+			got *= c.Late
 		}
 	}
+	s.earned += got
+	if v.lost == nil || !v.lost(op) {
+		s.rest += op.Worth
+		s.restGot += got
+	}
 }
 
 func (v *view) slot(node, i int) *slice {
@@ -133,6 +138,10 @@
 	r.Calm = calm.earned / calm.asked
 	gone := v.sum(int(from), int(to))
 	r.Dark = gone.earned / gone.asked
+	r.Rest = gone.restGot / gone.rest
+	if gone.asked > gone.rest {
+		r.Part = (gone.earned - gone.restGot) / (gone.asked - gone.rest)
+	}
 	lit := 0.0 // cores: as warm, at the beginning
 	begin := int((world.Lead.Seconds() + warmUp) / sliceWidth.Seconds())
 	for n := range v.nodes {
@@ -180,6 +189,8 @@
 		s.wishes += o.wishes
 		s.asked += o.asked
 		s.earned += o.earned
+		s.rest += o.rest
+		s.restGot += o.restGot
 		for k := range o.worth {
 			s.worth[k] += o.worth[k]
 			s.work[k] += o.work[k]
--- a/internal/lab/zonelab/zonelab.go
+++ b/internal/lab/zonelab/zonelab.go
@@ -14,6 +14,7 @@
 	"pewterrudder/brain"
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/virtual"
+	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/zones"
 )
@@ -46,6 +47,8 @@
 	PeakMean float64 `json:"peak_pressure_mean"`
 	Cold     float64 `json:"peak_cold"`  // of those that warm, over what their rule allows
 	Other    float64 `json:"peak_other"` // of the other zone's app nodes, while the first is gone
+	Rest     float64 `json:"rest"`       // goodput, while it is gone, of what has nothing to do with it: of other pools
+	Part     float64 `json:"part"`       // and of what is the lost pool's
 	Broken   uint64  `json:"broken"`     // rules
 	Cross    float64 `json:"attempts"`   // attempts for each call
 }
@@ -76,6 +79,8 @@
 		sum.Of += r.Of / n
 		sum.OfLate += r.OfLate / n
 		sum.Cross += r.Cross / n
+		sum.Rest += r.Rest / n
+		sum.Part += r.Part / n
 		sum.BackMean += r.Back / n
 		sum.PeakMean += r.Peak / n
 		sum.Least = min(sum.Least, r.Of)
@@ -100,6 +105,15 @@
 	opt := virtual.Options{Seed: seed, Recorder: v, Sample: sliceWidth, Log: v}
 	switch policy {
 	case "no zones":
+	case "one pool", "pools":
+		of, layout, err := divided(sc)
+		if err != nil {
+			return nil, err
+		}
+		v.lost = func(op *world.Op) bool { return of(op) > 0 }
+		if policy == "pools" {
+			opt.Layout = layout
+		}
 	case "listed":
 		opt.Policy = func(cfg brain.Settings, seed uint64) (brain.Decider, error) {
 			d, err := brain.New(cfg, seed)
--- a/internal/lab/zonelab/zonelab_test.go
+++ b/internal/lab/zonelab/zonelab_test.go
@@ -18,13 +18,22 @@
 		t.Skip("-zonelab.seeds is not given")
 	}
 	names := Scenarios
-	if *only != "" {
+	if *only == "pools" {
+		names = nil
+	} else if *only != "" {
 		names = []string{*only}
 	}
-	rows, err := Table(names, *seeds, nil)
+	rows, err := Table(names, Policies, *seeds, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if *only == "" || *only == "pools" {
+		more, err := Table(PoolScenarios, PoolPolicies, *seeds, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, more...)
+	}
 	if err := Write(os.Stdout, rows); err != nil {
 		t.Fatal(err)
 	}
