--- a/internal/zones/health.go
+++ b/internal/zones/health.go
@@ -74,6 +74,7 @@
 	waitFrom  time.Duration // the first call without an answer since the last one
 	decidedN  int           // calls bound for it since the last sign of life
 	sentN     int           // attempts sent since then
+	calledOff int           // those among them that were called off when they were due
 	failing   float64       // share of failures
 	failSeen  float64       // outcomes behind it
 	intime    float64       // share of answers in time, when it was well
@@ -152,14 +153,17 @@
 	z := &s.zones[zone]
 	answered := o == OK || o == Late || o == Errored || o == Shed
 	if answered {
-		z.heard, z.decidedN, z.sentN = true, 0, 0
+		z.heard, z.decidedN, z.sentN, z.calledOff = true, 0, 0, 0
 		if util >= 0 && !math.IsNaN(util) && !math.IsInf(util, 0) {
 			s.report(z, min(util, 1), queue)
 		}
 	}
-	if o == Cancelled && took < s.usual(zone, class) {
+	switch {
+	case o == Cancelled && took < s.usual(zone, class):
 		// Another copy was faster, and this one was not due: it says nothing of the zone.
 		z.sentN, z.decidedN = max(0, z.sentN-1), max(0, z.decidedN-1)
+	case o == Cancelled:
+		z.calledOff++
 	}
 	s.failed(zone, o)
 	if z.state == dark {
@@ -249,7 +253,7 @@
 	if !z.heard {
 		limit = long // nothing is known yet of how long answers take
 	}
-	if quiet >= limit && (n >= silentCalls || z.state == returning) || quiet >= long {
+	if quiet >= limit && (n >= silentCalls || z.state == returning) || quiet >= long && n-z.calledOff >= silentFew {
 		s.darken(zone, "no sign of life for "+quiet.Round(time.Millisecond).String())
 	}
 }
--- a/internal/zones/room.go
+++ b/internal/zones/room.go
@@ -308,7 +308,7 @@
 func (s *State) comeBack(zone int) {
 	z := &s.zones[zone]
 	z.state, z.backAt, z.bad, z.failing, z.failSeen = returning, s.now, 0, 0, 0
-	z.decidedN, z.sentN, z.busyKnown, z.level = 0, 0, false, 0
+	z.decidedN, z.sentN, z.calledOff, z.busyKnown, z.level = 0, 0, 0, false, 0
 	z.turnedAt = s.now
 	stands := false
 	for i := range s.zones {
