--- a/internal/lab/zonelab/table.go
+++ b/internal/lab/zonelab/table.go
@@ -30,7 +30,7 @@
 	fmt.Fprintln(t, "scenario\tpolicy\tgoodput\tcalm\tdark\tof best\tafter 3 s\tworst seed\tback s\tmean\tlate back\tpeak\tmean\tcold\tother\tattempts\tother pool\tlost pool\tbroken\t")
 	for _, r := range rows {
 		fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t%d\t\n", r.Scenario, r.Policy,
-			r.Goodput, r.Calm, r.Dark, r.Of, r.OfLate, r.Least, r.Back, r.BackMean, r.NotBack, r.Peak, r.PeakMean, r.Cold, r.Other, r.Cross, r.Rest, r.Part, r.Broken)
+			r.Goodput, r.Calm, r.Dark, r.Of, r.OfLate, r.Least, r.Back, r.BackMean, r.NotBack, r.Peak, r.PeakMean, r.Cold, r.Other, r.Attempts, r.Rest, r.Part, r.Broken)
 	}
 	return t.Flush()
 }
--- a/internal/lab/zonelab/view.go
+++ b/internal/lab/zonelab/view.go
@@ -178,7 +178,7 @@
 			r.Other = max(r.Other, warm)
 		}
 	}
-	r.Cross = float64(rec.Counts.Attempts) / float64(max(1, whole.wishes))
+	r.Attempts = float64(rec.Counts.Attempts) / float64(max(1, whole.wishes))
 	return r
 }
 
--- a/internal/lab/zonelab/zonelab.go
+++ b/internal/lab/zonelab/zonelab.go
@@ -50,7 +50,7 @@
 	Rest     float64 `json:"rest"`       // goodput, while it is gone, of what has nothing to do with it: of other pools
 	Part     float64 `json:"part"`       // and of what is the lost pool's
 	Broken   uint64  `json:"broken"`     // rules
-	Cross    float64 `json:"attempts"`   // attempts for each call
+	Attempts float64 `json:"attempts"`   // for each call
 }
 
 // Run runs a scenario with a policy for seeds 1 to so many.
@@ -78,7 +78,7 @@
 		sum.Best += r.Best / n
 		sum.Of += r.Of / n
 		sum.OfLate += r.OfLate / n
-		sum.Cross += r.Cross / n
+		sum.Attempts += r.Attempts / n
 		sum.Rest += r.Rest / n
 		sum.Part += r.Part / n
 		sum.BackMean += r.Back / n
