--- a/internal/zones/health.go
+++ b/internal/zones/health.go
@@ -40,7 +40,7 @@
 	// Returning: answers count as good as before within these.
 	lateMore  = 0.05 // share of answers in time that may be missing
 	worseMost = 1.5  // times the time that they took before
-	judgeFrom = 5    // answers; with fewer the room does not grow
+	judgeFrom = 5    // answers; a step waits for them
 	badMost   = 4    // bad steps in a row that end the return
 
 	latOver  = 0.02 // weight of one answer in what is learned of times
@@ -74,6 +74,7 @@
 	waitFrom  time.Duration // the first call without an answer since the last one
 	decidedN  int           // calls bound for it since the last sign of life
 	sentN     int           // attempts sent since then
+	calledOff int           // those among them that were called off when they were due
 	failing   float64       // share of failures
 	failSeen  float64       // outcomes behind it
 	intime    float64       // share of answers in time, when it was well
@@ -91,7 +92,8 @@
 	room           float64 // cores
 	level          float64 // of the bucket, core-seconds
 	levelAt        time.Duration
-	owed           int           // calls bound for it and not yet sent
+	owed, owedRank int // calls bound for it and not yet sent; the rank of the dearest
+	owedAt         time.Duration
 	used           float64       // core-seconds sent since the last step
 	turnedAt       time.Duration // a call found no room
 	takenAt        time.Duration // one did
@@ -105,7 +107,7 @@
 }
 
 func newZone(name string, classes int) zone {
-	return zone{name: name, intime: 1, pace: make([]pace, classes), strikes: -1}
+	return zone{name: name, intime: 1, pace: make([]pace, classes), strikes: -1, owedRank: classes}
 }
 
 // open says whether calls may be meant for the zone at all.
@@ -151,11 +153,18 @@
 	z := &s.zones[zone]
 	answered := o == OK || o == Late || o == Errored || o == Shed
 	if answered {
-		z.heard, z.decidedN, z.sentN = true, 0, 0
+		z.heard, z.decidedN, z.sentN, z.calledOff = true, 0, 0, 0
 		if util >= 0 && !math.IsNaN(util) && !math.IsInf(util, 0) {
 			s.report(z, min(util, 1), queue)
 		}
 	}
+	switch {
+	case o == Cancelled && took < s.usual(zone, class):
+		// Another copy was faster, and this one was not due: it says nothing of the zone.
+		z.sentN, z.decidedN = max(0, z.sentN-1), max(0, z.decidedN-1)
+	case o == Cancelled:
+		z.calledOff++
+	}
 	s.failed(zone, o)
 	if z.state == dark {
 		s.proof(zone, o, inTime)
@@ -200,6 +209,15 @@
 	}
 }
 
+// usual is the time within which most answers of a class come; where a zone has hardly been used, as in the own one.
+func (s *State) usual(zone, class int) time.Duration {
+	p := &s.zones[zone].pace[class]
+	if !p.seen {
+		p = &s.zones[s.cfg.Own].pace[class]
+	}
+	return time.Duration((p.mean + latDevs*p.dev) * float64(time.Second))
+}
+
 // failed watches for a zone that answers, and answers nothing but failures.
 func (s *State) failed(zone int, o Outcome) {
 	z, bad := &s.zones[zone], 0.0
@@ -235,7 +253,7 @@
 	if !z.heard {
 		limit = long // nothing is known yet of how long answers take
 	}
-	if quiet >= limit && (n >= silentCalls || z.state == returning) || quiet >= long {
+	if quiet >= limit && (n >= silentCalls || z.state == returning) || quiet >= long && n-z.calledOff >= silentFew {
 		s.darken(zone, "no sign of life for "+quiet.Round(time.Millisecond).String())
 	}
 }
--- a/internal/zones/room.go
+++ b/internal/zones/room.go
@@ -21,7 +21,7 @@
 
 	// fillMargin is kept below the bound: it takes up the noise of reports (3 to 10% each, and what a second's load
 	// differs from its mean) and the steps of balancers that are out of step with each other.
-	fillMargin = 0.07
+	fillMargin = 0.08
 	firstGain  = 0.7  // of the spare seen that a first room takes: answers come rather from the less busy app nodes
 	stepGain   = 0.5  // of the spare that a later step takes
 	blindBusy  = 0.6  // a zone of which nothing is known counts as this busy, where the own zone tells nothing
@@ -29,14 +29,18 @@
 	trickle    = 0.01 // of its capacity: a zone always gets so much, or no report would ever come
 
 	backFirst = 0.1 // of its share of the capacity: the first room of a zone that returns
-	backGrow  = 1.6 // times what it was sent: the most that a room grows in a step of a return
+	backGrow  = 2.0 // times what it was sent: the most that a room grows in a step of a return
 	backWarm  = 0.95
-	backRoom  = 5 * time.Second // without a call turned away, or one taken: the bound binds no longer
+	easeAfter = 5 * time.Second // without a call turned away, or one taken: the bound binds no longer
 
 	// The bucket: a second's room in parts. Classes worth least find room while it is above 0, the dearest until it is
 	// debt seconds of room below. So dear calls have first claim without anybody's knowing how many will come.
-	credit = 0.1
-	debt   = 0.5
+	credit = 0.2
+	// heldFor: a call that was bound for a zone that warms and is not sent at once is held by who picks app nodes, for
+	// none of the cold ones may have it now. Nothing worth as little follows it until it is sent, or this long after
+	// the last: what cannot be carried there may still have room elsewhere.
+	heldFor = 150 * time.Millisecond
+	debt    = 0.5
 )
 
 // report enters a load report.
@@ -123,6 +127,12 @@
 	if z.blind && (z.fresh >= freshFrom || z.fresh > 0 && s.now-z.stepFrom > freshMost) {
 		s.see(zone)
 	}
+	if z.owed > 0 && s.now-z.owedAt > heldFor {
+		z.owed, z.owedRank = 0, len(s.classes) // refused long since
+	}
+	if z.limited && (z.cold > 0 || z.state == returning) && z.owed > 0 && s.classes[class].rank >= z.owedRank {
+		return -1
+	}
 	s.fillUp(z)
 	floor := 0.0
 	if n := len(s.classes) - 1; n > 0 {
@@ -137,6 +147,7 @@
 	s.waiting(z)
 	z.decidedN++
 	z.owed++
+	z.owedRank, z.owedAt = min(z.owedRank, s.classes[class].rank), s.now
 	z.takenAt = s.now
 	if z.limited {
 		z.level -= s.cost(class)
@@ -161,7 +172,9 @@
 	}
 	switch {
 	case z.owed > 0:
-		z.owed--
+		if z.owed--; z.owed == 0 {
+			z.owedRank = len(s.classes)
+		}
 	case z.limited:
 		s.fillUp(z)
 		z.level -= s.cost(class)
@@ -175,7 +188,7 @@
 	z.limited, z.room = true, max(room, trickle*z.capacity/float64(s.cfg.Balancers))
 	z.level = max(z.level, -debt*z.room)
 	z.levelAt = s.now
-	z.used, z.owed = 0, 0
+	z.used = 0
 	z.answers, z.timed, z.worse, z.failures = 0, 0, 0, 0
 	z.stepFrom, z.stepAt = s.now, s.now+s.cfg.Settle
 }
@@ -222,23 +235,34 @@
 			s.note(zone, "busy %.0f%%: it cannot carry what comes", 100*z.busy)
 		}
 		return
-	case own && s.now-z.turnedAt > backRoom, s.now-z.takenAt > backRoom && s.now-z.turnedAt > backRoom:
+	case own && s.now-z.turnedAt > easeAfter, s.now-z.takenAt > easeAfter && s.now-z.turnedAt > easeAfter:
 		s.atEase(zone)
 		return
 	}
 	used := z.used / (s.now - z.stepFrom).Seconds()
 	known := z.busyKnown && s.now-z.busyAt < s.cfg.Settle
+	if !known && z.state == returning {
+		z.stepAt = s.now + s.cfg.Settle/4
+		return
+	}
 	if !known {
 		s.setRoom(z, max(used, z.room/2))
 		return
 	}
-	room := used + stepGain*s.spare(zone, z.busy)
+	gain := stepGain
+	if z.turnedAt < z.stepFrom {
+		gain = 1 // the bound did not bind, so that nothing has been learned of it that could be overdone
+	}
+	room := used + gain*s.spare(zone, z.busy)
 	if z.busy > s.cfg.Fill && !own {
 		room = min(room, used*s.aim(zone)/z.busy)
 	}
 	if z.state == returning {
-		room = s.grow(zone, used, room)
-		if z.state == dark {
+		if z.answers < judgeFrom && z.failures == 0 {
+			z.stepAt = s.now + s.cfg.Settle/4 // too few to judge by: they are waited for
+			return
+		}
+		if room = s.grow(zone, used, room); z.state == dark {
 			return
 		}
 	}
@@ -250,18 +274,16 @@
 	z := &s.zones[zone]
 	switch {
 	case z.failures > 0 && float64(z.failures) > 0.02*(z.answers+float64(z.failures)),
-		z.answers >= judgeFrom && z.timed < (z.intime-lateMore)*z.answers,
-		z.answers >= judgeFrom && z.worse > worseMost/z.warmth()*z.answers:
+		z.timed < (z.intime-lateMore)*z.answers,
+		z.worse > worseMost/z.warmth()*z.answers:
 		if z.bad++; z.bad >= badMost {
 			s.darken(zone, "its answers are worse than before")
 			return 0
 		}
-		return min(room, used/2)
-	case z.answers < judgeFrom:
-		return min(room, z.room)
+		return min(room, max(used/2, s.backRoom(zone)))
 	}
 	z.bad = 0
-	if z.warmth() > backWarm && (z.busy > s.aim(zone)-fillMargin || s.now-z.turnedAt > backRoom) {
+	if z.warmth() > backWarm && (z.busy > s.aim(zone)-fillMargin || s.now-z.turnedAt > easeAfter) {
 		s.well(zone) // as much as it is given on probation; from here on it is as any other
 	}
 	return min(room, max(backGrow*used, z.room))
@@ -286,7 +308,7 @@
 func (s *State) comeBack(zone int) {
 	z := &s.zones[zone]
 	z.state, z.backAt, z.bad, z.failing, z.failSeen = returning, s.now, 0, 0, 0
-	z.decidedN, z.sentN, z.busyKnown, z.level = 0, 0, false, 0
+	z.decidedN, z.sentN, z.calledOff, z.busyKnown, z.level = 0, 0, 0, false, 0
 	z.turnedAt = s.now
 	stands := false
 	for i := range s.zones {
@@ -296,10 +318,15 @@
 		s.atEase(zone)
 		return
 	}
-	s.setRoom(z, backFirst*s.aim(zone)*z.capacity/float64(s.cfg.Balancers))
+	s.setRoom(z, s.backRoom(zone))
 	s.note(zone, "answers again: a share goes back")
 }
 
+// backRoom is the room that a return begins with.
+func (s *State) backRoom(zone int) float64 {
+	return backFirst * s.aim(zone) * s.zones[zone].capacity / float64(s.cfg.Balancers)
+}
+
 // shrink follows a loss of capacity at once, since reports would show it a second later.
 func (s *State) shrink(zone int, was float64) {
 	z := &s.zones[zone]
