--- a/internal/config/zones.go
+++ b/internal/config/zones.go
@@ -61,7 +61,10 @@
 	return nil
 }
 
-// In gives the form that a pool takes for a balancer of a zone, or nil where zones are not looked at.
+// In counts on the balancers to be spread evenly over the zones: those beside the same zone are lost, and spill, with it.
+// A wrong number moves little, since what it comes to is seen in load reports.
+//
+// It gives the form that a pool takes for a balancer of a zone, or nil where zones are not looked at.
 func (z *Zones) In(b *brain.Settings) (*zones.Settings, error) {
 	if len(z.Names) == 0 {
 		return nil, nil
@@ -70,7 +73,7 @@
 	if own < 0 {
 		return nil, fmt.Errorf("zones.names: the balancer's own zone %q is not among them", b.Zone)
 	}
-	s := &zones.Settings{Zones: z.Names, Own: own, Tiers: [][]int{{own}}, Balancers: b.Nodes, Fill: z.Fill, SpillFrom: z.FullAt,
+	s := &zones.Settings{Zones: z.Names, Own: own, Tiers: [][]int{{own}}, Balancers: max(1, b.Nodes/len(z.Names)), Fill: z.Fill, SpillFrom: z.FullAt,
 		SilentFor: FromMs(z.SilentMs), TrialEvery: FromMs(z.TrialMs), HoldFirst: FromMs(z.HoldFirstMs), HoldMost: FromMs(z.HoldMostMs),
 		Forgive: FromMs(z.ForgiveMs), Settle: FromMs(z.SettleMs)}
 	placed := map[int]bool{own: true}
--- a/internal/lab/sockets/settings.go
+++ b/internal/lab/sockets/settings.go
@@ -111,12 +111,22 @@
 	for i := range r.sc.Classes {
 		most = max(most, r.sc.Classes[i].Upload[1])
 	}
-	if most <= 64<<10 {
+	sections := map[string]any{}
+	for name, section := range r.opt.Sections {
+		sections[name] = section
+	}
+	if most > 64<<10 {
+		sections["flow"] = map[string]any{"max_upload_bytes": int64(most) + 1}
+	}
+	if len(sections) == 0 {
 		return "", nil
 	}
+	text, err := json.Marshal(sections)
+	if err != nil {
+		return "", err
+	}
 	path := filepath.Join(r.dir, "settings.json")
-	text := fmt.Sprintf(`{"flow": {"max_upload_bytes": %d}}`, int64(most)+1)
-	return path, os.WriteFile(path, []byte(text), 0o600)
+	return path, os.WriteFile(path, text, 0o600)
 }
 
 // member is an app node as discovery writes it.
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -40,6 +40,8 @@
 	Forever  bool             // the run lasts until its context ends, which is then no fault
 	// Strangers has app nodes take requests that no client of the world has made, such as one that is sent by hand.
 	Strangers bool
+	// Sections are sections of the balancers' settings file, such as zones; with none there is no file unless bodies flow.
+	Sections map[string]any
 
 	hold func(due time.Duration) // see pace
 }
--- a/internal/lab/zonelab/zonelab.go
+++ b/internal/lab/zonelab/zonelab.go
@@ -4,6 +4,7 @@
 package zonelab
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"runtime"
@@ -13,6 +14,7 @@
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/lab/scenario"
+	"pewterrudder/internal/lab/sockets"
 	"pewterrudder/internal/lab/virtual"
 	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
@@ -133,6 +135,40 @@
 	return row, nil
 }
 
+// OnSockets runs one seed of a scenario against real processes: without zones, or with them in their settings file. A run
+// that this machine was too busy for gives the reason with the row.
+func OnSockets(ctx context.Context, name, policy, balancer string, seed uint64) (row *Row, void string, err error) {
+	sc, err := scenario.Load(name)
+	if err != nil {
+		return nil, "", err
+	}
+	v, err := newView(sc)
+	if err != nil {
+		return nil, "", err
+	}
+	opt := sockets.Options{Seed: seed, Balancer: balancer, Recorder: v, Sample: sliceWidth, Log: v}
+	switch policy {
+	case "no zones":
+	case "zones":
+		tiers := [][]string{}
+		for _, zone := range sc.Zones { // for all balancers one file: each one's own comes first by itself
+			if _, without := near[zone]; !without {
+				tiers = append(tiers, []string{zone})
+			}
+		}
+		opt.Sections = map[string]any{"zones": map[string]any{"names": sc.Zones, "tiers": tiers}}
+	default:
+		return nil, "", fmt.Errorf("%s: sockets have no such policy", policy)
+	}
+	rec, err := sockets.Run(ctx, sc, opt)
+	if err != nil {
+		return nil, "", err
+	}
+	row = v.row(&rec.Record)
+	row.Scenario, row.Policy, row.Seeds = name, policy+", sockets", 1
+	return row, rec.Void, nil
+}
+
 func ownOf(zone string) string {
 	if n, ok := near[zone]; ok {
 		return n
