Have what several registries say go through the roster before it reaches the fleet

Need: one kind of discovery was known, and its word was the list, however wrong. Change: the reducer takes lists, signs of life and breaks from any number of sources, hands them to the roster in slices, tells it of connects, and enters what it comes to as changes of the fleet; a source whose changes do not follow is asked for its whole list. Without a roster discovery's word is the list, as before.

--- a/internal/reducer/connections.go
+++ b/internal/reducer/connections.go
@@ -13,6 +13,9 @@
 		return
 	}
 	d := k.delg
+	if !k.doomed { // one that has moved was tried where it is no more
+		r.heardAt(k.srv, e.Err == nil)
+	}
 	switch {
 	case e.Err != nil:
 		r.close(k)
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/roster"
 )
 
 const (
@@ -29,6 +30,12 @@
 	next  int    // entry
 	left  int    // servers still to be looked at, once all entries are in; they are taken from the end
 	walks bool   // that has begun
+
+	said     bool // by a source of the roster, which gives the changes that follow
+	source   int
+	whole    bool
+	revision int64
+	entries  []roster.Entry
 }
 
 func (r *Reducer) onList(l List, kind brain.UpdateKind) {
@@ -51,6 +58,17 @@
 func (r *Reducer) feedOn() {
 	f := r.feeds[0]
 	touched := r.touched[:0]
+	saidAll := true
+	if f.said {
+		var changes []roster.Change
+		changes, saidAll = r.sayOn(f)
+		for i := range changes {
+			m, address := member(&changes[i])
+			if s := r.learn(&m, address, f.epoch); s != nil {
+				touched = append(touched, s)
+			}
+		}
+	}
 	for n := sliceMost; n > 0 && f.next < len(f.list.Members); n-- {
 		if s := r.learn(&f.list.Members[f.next], f.list.Addresses[f.next], f.epoch); s != nil {
 			touched = append(touched, s)
@@ -62,10 +80,10 @@
 	}
 	clear(touched)
 	r.touched = touched[:0]
-	if f.next == len(f.list.Members) && (f.list.Complete || f.deal) {
+	if f.next >= len(f.list.Members) && (f.list.Complete || f.deal) {
 		r.walk(f)
 	}
-	over := f.next == len(f.list.Members) && f.left == 0
+	over := saidAll && f.next >= len(f.list.Members) && f.left == 0
 	if over {
 		r.feeds = slices.Delete(r.feeds, 0, 1)
 	}
@@ -93,6 +111,9 @@
 		r.readied = true
 		r.emit(Ready{})
 	}
+	if f.said && over {
+		r.rosterNext()
+	}
 	if len(r.feeds) > 0 {
 		r.emit(Arm{0, more{}})
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -22,6 +22,7 @@
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/patience"
+	"pewterrudder/internal/roster"
 )
 
 // Tunables.
@@ -133,6 +134,19 @@
 		Watch uint64
 		List  List
 	}
+	// Said, Heard and SourceBroke come from registries other than the platform's discovery: a list or changes of it, a sign of
+	// life, and that one cannot be heard. They need a roster.
+	Said struct {
+		Source   int
+		Whole    bool
+		Revision int64
+		Entries  []roster.Entry
+	}
+	Heard       struct{ Source int }
+	SourceBroke struct {
+		Source int
+		Err    error
+	}
 	// WatchEnded: the watch broke or could not be opened.
 	WatchEnded struct {
 		Watch uint64
@@ -148,7 +162,8 @@
 	rewatch  struct{}
 	more     struct{}
 
-	zoneClock struct{}
+	zoneClock  struct{}
+	rosterTick struct{}
 )
 
 // Written says how far a request came.
@@ -214,6 +229,8 @@
 		Discovery string
 		Since     int64
 	}
+	// Refetch: a registry's changes do not follow on what was held of it, so that its whole list is needed.
+	Refetch struct{ Source int }
 	// Arm returns the event after a while.
 	Arm struct {
 		After time.Duration
@@ -312,11 +329,16 @@
 	zoneBits  map[string]uint64
 	ready     int // servers
 	zoned     bool
-	epoch     uint64
-	feeds     []*feed // the first is being worked through
-	touched   []*server
-	oldest    *conn // of the idle ones, which lead on to newer
-	newest    *conn
+
+	roster          *roster.Roster // nil: discovery's word is the list
+	discoverySource int
+	wants           []bool        // by source: it has been asked for its whole list
+	rosterAt        time.Duration // when the roster's next moment is armed for; 0: none is
+	epoch           uint64
+	feeds           []*feed // the first is being worked through
+	touched         []*server
+	oldest          *conn // of the idle ones, which lead on to newer
+	newest          *conn
 
 	discovery         string
 	revision          int64
@@ -402,7 +424,11 @@
 		if r.zoned {
 			r.emit(Arm{zoneTick, zoneClock{}})
 		}
-		r.onList(e.Known, brain.UpdateRestored)
+		if r.roster != nil && len(e.Known.Members) > 0 { // the word of discovery, or of the source that is trusted most
+			r.said(max(0, r.discoverySource), true, e.Known.Revision, entries(&e.Known), brain.UpdateRestored)
+		} else {
+			r.onList(e.Known, brain.UpdateRestored)
+		}
 		if !r.cfg.AskDiscovery {
 			r.openWatch()
 		}
@@ -439,11 +465,19 @@
 		}
 	case Listed:
 		if e.Watch == r.watch {
-			kind := brain.UpdateChanges
-			if e.List.Complete {
-				kind = brain.UpdateFull
+			switch {
+			case r.roster != nil && r.discoverySource >= 0:
+				r.revision = max(r.revision, e.List.Revision)
+				if e.List.Complete {
+					r.revision = e.List.Revision
+				}
+				r.said(r.discoverySource, e.List.Complete, e.List.Revision, entries(&e.List), brain.UpdateChanges)
+			case r.roster != nil:
+			case e.List.Complete:
+				r.onList(e.List, brain.UpdateFull)
+			default:
+				r.onList(e.List, brain.UpdateChanges)
 			}
-			r.onList(e.List, kind)
 		}
 	case WatchEnded:
 		if e.Watch != r.watch {
@@ -451,6 +485,7 @@
 		}
 		r.watching = false
 		r.emit(Log{"registry: watch ended: " + e.Err.Error()})
+		r.onSourceBroke(r.discoverySource, e.Err)
 		if r.cfg.AskDiscovery {
 			for _, p := range r.pools {
 				if p != nil {
@@ -476,6 +511,19 @@
 		}
 	case zoneClock:
 		r.onZoneTick()
+	case Said:
+		if r.roster != nil {
+			r.said(e.Source, e.Whole, e.Revision, e.Entries, brain.UpdateChanges)
+		}
+	case Heard:
+		if r.roster != nil {
+			r.roster.Heard(r.now, e.Source)
+			r.rosterNext()
+		}
+	case SourceBroke:
+		r.onSourceBroke(e.Source, e.Err)
+	case rosterTick:
+		r.onRosterTick()
 	}
 	effects, r.out = r.out, nil
 	return effects
@@ -541,28 +589,33 @@
 	}
 }
 
-func (Started) event()    {}
-func (Reloaded) event()   {}
-func (Arrived) event()    {}
-func (ClientGone) event() {}
-func (Dialed) event()     {}
-func (Flowing) event()    {}
-func (Exchanged) event()  {}
-func (Lost) event()       {}
-func (Listed) event()     {}
-func (WatchEnded) event() {}
-func (timer) event()      {}
-func (deadline) event()   {}
-func (sweep) event()      {}
-func (rewatch) event()    {}
-func (more) event()       {}
-func (zoneClock) event()  {}
+func (Started) event()     {}
+func (Reloaded) event()    {}
+func (Arrived) event()     {}
+func (ClientGone) event()  {}
+func (Dialed) event()      {}
+func (Flowing) event()     {}
+func (Exchanged) event()   {}
+func (Lost) event()        {}
+func (Listed) event()      {}
+func (WatchEnded) event()  {}
+func (timer) event()       {}
+func (deadline) event()    {}
+func (sweep) event()       {}
+func (rewatch) event()     {}
+func (more) event()        {}
+func (zoneClock) event()   {}
+func (Said) event()        {}
+func (Heard) event()       {}
+func (SourceBroke) event() {}
+func (rosterTick) event()  {}
 
 func (Answer) effect()   {}
 func (Dial) effect()     {}
 func (Exchange) effect() {}
 func (Close) effect()    {}
 func (Watch) effect()    {}
+func (Refetch) effect()  {}
 func (Arm) effect()      {}
 func (Ready) effect()    {}
 func (Log) effect()      {}
