--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -29,11 +29,12 @@
 	Shrink  shrinkCommand  `cmd:"" help:"Make the run of a replay file smaller while it breaks in the same way."`
 	Planted plantedCommand `cmd:"" help:"Build the balancer with faults planted, and see that the swarm catches each."`
 
-	Theory theoryCommand `cmd:"" help:"Hold the model of app nodes against queueing theory."`
-	Paper  paperCommand  `cmd:"" help:"Play the experiments of the paper on bursts, beside its figures."`
-	Scale  scaleCommand  `cmd:"" help:"Measure what the size of the fleet costs in the reducer."`
-	Flow   flow          `cmd:"" help:"Measure answers that flow, on real processes."`
-	Demo   demoCommand   `cmd:"" help:"Show a site on this machine: app nodes, discovery, one real balancer and mild load."`
+	Theory  theoryCommand  `cmd:"" help:"Hold the model of app nodes against queueing theory."`
+	Paper   paperCommand   `cmd:"" help:"Play the experiments of the paper on bursts, beside its figures."`
+	Scale   scaleCommand   `cmd:"" help:"Measure what the size of the fleet costs in the reducer."`
+	Flow    flow           `cmd:"" help:"Measure answers that flow, on real processes."`
+	Eurekad eurekadCommand `cmd:"" help:"Stand in for a Eureka registry, and measure the client of one."`
+	Demo    demoCommand    `cmd:"" help:"Show a site on this machine: app nodes, discovery, one real balancer and mild load."`
 
 	Completion completionCommand `cmd:"" help:"Print what makes a shell complete these commands."`
 	Complete   completeCommand   `cmd:"" hidden:"" passthrough:"" help:"Print what may come next on a line."`
--- a/internal/lab/eurekad/eurekad.go
+++ b/internal/lab/eurekad/eurekad.go
@@ -48,6 +48,7 @@
 	SlowFor time.Duration    // of Slow; 0: 30 s
 	Turn    time.Duration    // calls are worked through in turn, each taking so long
 	On      func(Call)       // hears of each call that was answered
+	Asked   func()           // hears of each call that has come
 }
 
 // Call is one that was answered.
@@ -69,6 +70,9 @@
 	repeats *list
 	hidden  map[string]*Instance // what has left, while we lie
 	turn    chan struct{}
+	version int               // counts changes
+	cache   map[string][]byte // whole lists as they were written, by form; the published server keeps them too
+	cached  int               // their version
 }
 
 type recent struct {
@@ -88,7 +92,7 @@
 		set.SlowFor = 30 * time.Second
 	}
 	return &Registry{set: set, apps: map[string]map[string]*Instance{}, over: make(chan struct{}),
-		hidden: map[string]*Instance{}, turn: make(chan struct{}, 1)}
+		hidden: map[string]*Instance{}, cache: map[string][]byte{}, turn: make(chan struct{}, 1)}
 }
 
 // Set changes the fault.
@@ -124,6 +128,7 @@
 	defer r.mu.Unlock()
 	clear(r.apps)
 	r.recent = nil
+	r.version++
 }
 
 func (r *Registry) ms() int64 { return r.set.Clock().UnixMilli() }
@@ -157,6 +162,7 @@
 }
 
 func (r *Registry) changed(in *Instance) {
+	r.version++
 	r.recent = append(r.recent, recent{r.set.Clock(), in})
 }
 
@@ -346,6 +352,9 @@
 		r.control(w, req, parts[1:])
 		return
 	}
+	if r.set.Asked != nil {
+		r.set.Asked()
+	}
 	if !r.suffer(w, req) {
 		return
 	}
@@ -484,10 +493,22 @@
 			out = form.list(l)
 		}
 	}
+	zipped := strings.Contains(req.Header.Get("Accept-Encoding"), "gzip")
+	key := fmt.Sprint(asXML, zipped)
 	r.mu.Lock()
 	fault := r.fault
 	status := http.StatusOK
+	whole := parts[0] == "apps" && len(parts) == 1
+	if r.cached != r.version || fault != None {
+		clear(r.cache)
+		r.cached = r.version
+	}
+	body := []byte(nil)
+	if whole {
+		body = r.cache[key]
+	}
 	switch {
+	case body != nil:
 	case parts[0] == "apps" && len(parts) == 2 && parts[1] == "delta":
 		if fault == NoDeltas {
 			status = http.StatusForbidden
@@ -549,13 +570,25 @@
 			out = map[string]any{"instance": form.instance(in)}
 		}
 	}
-	body := []byte(x.String())
-	if !asXML {
-		var b bytes.Buffer
-		e := json.NewEncoder(&b)
-		e.SetEscapeHTML(false)
-		e.Encode(out)
-		body = b.Bytes()
+	if body == nil {
+		body = []byte(x.String())
+		if !asXML {
+			var b bytes.Buffer
+			e := json.NewEncoder(&b)
+			e.SetEscapeHTML(false)
+			e.Encode(out)
+			body = b.Bytes()
+		}
+		if zipped {
+			var b bytes.Buffer
+			z, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+			z.Write(body)
+			z.Close()
+			body = b.Bytes()
+		}
+		if whole && fault == None {
+			r.cache[key] = body
+		}
 	}
 	r.mu.Unlock()
 	if status != http.StatusOK {
@@ -567,13 +600,8 @@
 		w.Header().Set("Content-Type", "application/xml")
 	}
 	w.Header().Set("Date", r.set.Clock().UTC().Format(http.TimeFormat))
-	if strings.Contains(req.Header.Get("Accept-Encoding"), "gzip") && len(body) > 1<<10 {
+	if zipped {
 		w.Header().Set("Content-Encoding", "gzip")
-		var b bytes.Buffer
-		z, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-		z.Write(body)
-		z.Close()
-		body = b.Bytes()
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if fault == Cut {
--- a/internal/registry/eureka/decode.go
+++ b/internal/registry/eureka/decode.go
@@ -117,7 +117,6 @@
 // single object where there is a list, numbers and truths as text, "$" for text beside "@" for attributes.
 func decodeJSON(m *meter, want func(string) bool, each func(*instance) error) (head, error) {
 	d := &jsonReader{dec: json.NewDecoder(m), m: m, want: want, each: each}
-	d.dec.UseNumber()
 	found := false
 	err := d.object(func(key string) error {
 		switch key {
@@ -165,7 +164,7 @@
 		return err
 	}
 	if t != json.Delim('{') {
-		return d.rest(t, 0)
+		return d.rest(t)
 	}
 	return d.fields(field)
 }
@@ -208,7 +207,7 @@
 		if t == json.Delim('{') {
 			err = one()
 		} else {
-			err = d.rest(t, 0)
+			err = d.rest(t)
 		}
 		if err != nil {
 			return err
@@ -227,120 +226,184 @@
 			name = canonical(strings.ToUpper(text))
 			return err
 		case "instance":
-			return d.oneOrMore(func() error { return d.instance(name) })
+			return d.instances(name)
 		}
 		return d.skip()
 	})
 }
 
-func (d *jsonReader) instance(app string) error {
-	d.m.again()
-	in := fresh(app)
-	err := d.fields(func(key string) error {
-		switch key {
-		case "port", "securePort":
-			text, enabled := "", ""
-			err := d.either(func(v string) { text, enabled = v, "true" }, func(name string) error {
-				v, err := d.text()
-				switch name {
-				case "$":
-					text = v
-				case "@enabled":
-					enabled = v
-				}
-				return err
-			})
-			in.setPort(key, text, enabled)
+// instances reads a list of instances, or one that stands alone.
+func (d *jsonReader) instances(app string) error {
+	t, err := d.dec.Token()
+	if err != nil {
+		return err
+	}
+	if t == json.Delim('{') { // put together again, so that one instance is read in one way
+		d.m.again()
+		var raw map[string]json.RawMessage
+		err := d.fields(func(key string) error {
+			if raw == nil {
+				raw = map[string]json.RawMessage{}
+			}
+			var v json.RawMessage
+			err := d.dec.Decode(&v)
+			raw[key] = v
 			return err
-		case "metadata":
-			return d.object(func(name string) error {
-				text, err := d.text()
-				in.setMeta(d.want, name, text)
-				return err
-			})
-		case "leaseInfo":
-			return d.object(func(name string) error {
-				text, err := d.text()
-				if name == "serviceUpTimestamp" {
-					in.set(name, text)
-				}
+		})
+		if err != nil {
+			return err
+		}
+		whole, err := json.Marshal(raw)
+		if err != nil {
+			return err
+		}
+		var w wireInstance
+		if err := json.Unmarshal(whole, &w); err != nil {
+			return err
+		}
+		return d.each(w.instance(app, d.want))
+	}
+	if t != json.Delim('[') {
+		return nil
+	}
+	for d.dec.More() {
+		d.m.again()
+		var w *wireInstance
+		err := d.dec.Decode(&w)
+		var wrong *json.UnmarshalTypeError
+		switch {
+		case errors.As(err, &wrong), err == nil && w == nil: // no object: passed over
+		case err != nil:
+			return err
+		default:
+			if err := d.each(w.instance(app, d.want)); err != nil {
 				return err
-			})
-		case "dataCenterInfo":
-			return d.object(func(name string) error {
-				if name != "metadata" {
-					return d.skip()
-				}
-				return d.object(func(name string) error {
-					text, err := d.text()
-					in.setAmazon(name, text)
-					return err
-				})
-			})
+			}
 		}
-		text, err := d.text()
-		in.set(key, text)
-		return err
-	})
-	if err != nil {
-		return err
 	}
-	return d.each(in)
+	_, err = d.dec.Token()
+	return err
 }
 
-// either reads a plain value, or an object field by field.
-func (d *jsonReader) either(plain func(string), field func(name string) error) error {
-	t, err := d.dec.Token()
-	switch {
-	case err != nil:
-		return err
-	case t == json.Delim('{'):
-		return d.fields(field)
+// wireInstance is an instance in JSON.
+type wireInstance struct {
+	ID      plainValue `json:"instanceId"`
+	App     plainValue `json:"app"`
+	Host    plainValue `json:"hostName"`
+	IP      plainValue `json:"ipAddr"`
+	Status  plainValue `json:"status"`
+	Action  plainValue `json:"actionType"`
+	Updated plainValue `json:"lastUpdatedTimestamp"`
+	Port    wirePort   `json:"port"`
+	Secure  wirePort   `json:"securePort"`
+	Lease   lenient[struct {
+		Up plainValue `json:"serviceUpTimestamp"`
+	}] `json:"leaseInfo"`
+	Centre lenient[struct {
+		Metadata lenient[map[string]plainValue] `json:"metadata"`
+	}] `json:"dataCenterInfo"`
+	Metadata lenient[map[string]plainValue] `json:"metadata"`
+}
+
+func (w *wireInstance) instance(app string, want func(string) bool) *instance {
+	in := fresh(app)
+	if w.App != "" {
+		in.set("app", string(w.App))
+	}
+	in.id, in.host, in.ip, in.status = string(w.ID), string(w.Host), string(w.IP), statusOf(string(w.Status))
+	in.action = canonical(string(w.Action))
+	in.updated, in.up = number(string(w.Updated)), number(string(w.Lease.value.Up))
+	if w.Port.there {
+		in.setPort("port", string(w.Port.number), string(w.Port.enabled))
 	}
-	plain(plainText(t))
-	return d.rest(t, 0)
+	if w.Secure.there {
+		in.setPort("securePort", string(w.Secure.number), string(w.Secure.enabled))
+	}
+	for key, v := range w.Metadata.value {
+		in.setMeta(want, key, string(v))
+	}
+	for key, v := range w.Centre.value.Metadata.value {
+		in.setAmazon(key, string(v))
+	}
+	return in
 }
 
-func plainText(t json.Token) string {
-	switch v := t.(type) {
-	case string:
-		return v
-	case json.Number:
-		return v.String()
-	case bool:
-		return strconv.FormatBool(v)
+// lenient passes over what is no object where one is expected.
+type lenient[T any] struct{ value T }
+
+func (l *lenient[T]) UnmarshalJSON(b []byte) error {
+	if b[0] != '{' {
+		return nil
 	}
-	return ""
+	return json.Unmarshal(b, &l.value)
 }
 
-// text reads a plain value; "$" stands for the text of an object, and anything else is passed over.
-func (d *jsonReader) text() (string, error) {
-	text := ""
-	err := d.either(func(v string) { text = v }, func(name string) error {
-		if name != "$" {
-			return d.skip()
+// plainValue is a text, a number or a truth, or the object that has it under "$"; anything else is no text.
+type plainValue string
+
+func (p *plainValue) UnmarshalJSON(b []byte) error {
+	switch b[0] {
+	case '"':
+		for _, c := range b {
+			if c == '\\' || c >= 0x80 {
+				return json.Unmarshal(b, (*string)(p))
+			}
 		}
-		t, err := d.dec.Token()
-		if err != nil {
-			return err
+		*p = plainValue(b[1 : len(b)-1])
+	case '{':
+		var v struct {
+			Text plainValue `json:"$"`
 		}
-		text = plainText(t)
-		return d.rest(t, 0)
-	})
-	return text, err
+		err := json.Unmarshal(b, &v)
+		*p = v.Text
+		return err
+	case '[', 'n':
+		*p = ""
+	default:
+		*p = plainValue(b)
+	}
+	return nil
+}
+
+type wirePort struct {
+	there           bool
+	number, enabled plainValue
+}
+
+func (w *wirePort) UnmarshalJSON(b []byte) error {
+	w.there = true
+	if b[0] != '{' {
+		w.enabled = "true"
+		return w.number.UnmarshalJSON(b)
+	}
+	var v struct {
+		Number  plainValue `json:"$"`
+		Enabled plainValue `json:"@enabled"`
+	}
+	err := json.Unmarshal(b, &v)
+	w.number, w.enabled = v.Number, v.Enabled
+	return err
 }
 
+// text reads a plain value.
+func (d *jsonReader) text() (string, error) {
+	var v plainValue
+	err := d.dec.Decode(&v)
+	return string(v), err
+}
+
+// skip passes over a value, piece by piece.
 func (d *jsonReader) skip() error {
 	t, err := d.dec.Token()
 	if err != nil {
 		return err
 	}
-	return d.rest(t, 0)
+	return d.rest(t)
 }
 
 // rest passes over what is left of a value whose first token has been read.
-func (d *jsonReader) rest(t json.Token, depth int) error {
-	for {
+func (d *jsonReader) rest(t json.Token) error {
+	for depth := 0; ; {
 		switch t {
 		case json.Delim('{'), json.Delim('['):
 			if depth++; depth > mostDepth {
--- a/internal/registry/eureka/pace.go
+++ b/internal/registry/eureka/pace.go
@@ -262,7 +262,7 @@
 		p.took[1] = took
 	}
 	p.answered++
-	p.nextAt = now + p.around(max(p.set.Every, 2*p.slow(), p.crowd()), 0.1)
+	p.nextAt = now + p.around(max(p.set.Every, p.slow(), p.crowd()), 0.1)
 	return stop
 }
 
