--- a/cmd/rudderlab/eurekad.go
+++ b/cmd/rudderlab/eurekad.go
@@ -16,6 +16,7 @@
 	"pewterrudder/internal/lab/eurekad/pacing"
 	"pewterrudder/internal/lab/eurekad/size"
 	"pewterrudder/internal/registry/eureka"
+	"pewterrudder/internal/roster"
 )
 
 type eurekadCommand struct {
@@ -65,18 +66,18 @@
 // eurekadList is a list that is read.
 type eurekadList struct {
 	mu   sync.Mutex
-	list map[string]eureka.Entry
+	list map[string]roster.Entry
 	news chan struct{}
 }
 
-func (l *eurekadList) Said(whole bool, _ int64, entries []eureka.Entry) {
+func (l *eurekadList) Said(whole bool, _ int64, entries []roster.Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if whole {
 		clear(l.list)
 	}
 	for _, e := range entries {
-		if e.State == eureka.Gone {
+		if e.State == roster.Gone {
 			delete(l.list, e.ID)
 		} else {
 			l.list[e.ID] = e
@@ -110,7 +111,7 @@
 }
 
 func (e *eurekadRead) Run() error {
-	l := &eurekadList{list: map[string]eureka.Entry{}, news: make(chan struct{}, 1)}
+	l := &eurekadList{list: map[string]roster.Entry{}, news: make(chan struct{}, 1)}
 	set := eurekadClient(e.Address, e.XML)
 	set.Apps = e.App
 	c, err := eureka.New(set, l)
@@ -145,7 +146,7 @@
 }
 
 func (e *eurekadShow) Run() error {
-	l := &eurekadList{list: map[string]eureka.Entry{}, news: make(chan struct{}, 1)}
+	l := &eurekadList{list: map[string]roster.Entry{}, news: make(chan struct{}, 1)}
 	set := eurekadClient(e.Address, false)
 	set.Self = &eureka.Self{App: e.App, ID: e.ID, Host: e.Host, Port: e.Port, Renew: e.Renew,
 		Metadata: map[string]string{"zone": "lab"}}
--- a/internal/lab/eurekad/size/size.go
+++ b/internal/lab/eurekad/size/size.go
@@ -21,6 +21,7 @@
 
 	"pewterrudder/internal/lab/eurekad"
 	"pewterrudder/internal/registry/eureka"
+	"pewterrudder/internal/roster"
 )
 
 // Cost is what was measured.
@@ -50,12 +51,12 @@
 // sink keeps the last list as whoever is told would.
 type sink struct {
 	mu     sync.Mutex
-	list   []eureka.Entry
+	list   []roster.Entry
 	told   chan struct{}
-	onSaid func([]eureka.Entry)
+	onSaid func([]roster.Entry)
 }
 
-func (s *sink) Said(whole bool, _ int64, entries []eureka.Entry) {
+func (s *sink) Said(whole bool, _ int64, entries []roster.Entry) {
 	s.mu.Lock()
 	if whole {
 		s.list = entries
@@ -206,7 +207,7 @@
 	var extra, total []time.Duration
 	seen := map[string]bool{}
 	s := &sink{told: make(chan struct{}, 1)}
-	s.onSaid = func(entries []eureka.Entry) {
+	s.onSaid = func(entries []roster.Entry) {
 		now := time.Now().UnixNano()
 		for _, e := range entries {
 			at := e.Labels[eurekad.ChangedAt]
--- a/internal/registry/eureka/entry.go
+++ b/internal/registry/eureka/entry.go
@@ -9,7 +9,8 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
+
+	"pewterrudder/internal/roster"
 )
 
 // status as Eureka knows it, in the order of the names, which is that of the hash code.
@@ -35,16 +36,16 @@
 }
 
 // state is what a status means for calls.
-func (s status) state() State {
+func (s status) state() roster.State {
 	switch s {
 	case up:
-		return Up
+		return roster.Up
 	case starting:
-		return Gone // in no service yet, and what was open to a process before it leads nowhere
+		return roster.Gone // in no service yet, and what was open to a process before it leads nowhere
 	}
 	// DOWN: its own check fails, and what it still answers may count. OUT_OF_SERVICE: taken out by hand or by itself,
 	// while it works on. UNKNOWN, or a status of another's: nobody says that it may have calls.
-	return Draining
+	return roster.Draining
 }
 
 // Keys name the metadata that entries are made of. An empty key takes nothing.
@@ -93,8 +94,8 @@
 func (in *instance) key() string { return in.app + "/" + in.name() }
 
 // entry makes the list's entry. An error says why no call can go there; flaw names a value that was passed over.
-func (in *instance) entry(k *Keys, byHost bool) (e Entry, flaw, err error) {
-	e = Entry{ID: in.name(), Zone: in.zone, Weight: 1, State: in.status.state()}
+func (in *instance) entry(k *Keys, byHost bool) (e roster.Entry, flaw, err error) {
+	e = roster.Entry{ID: in.name(), Zone: in.zone, Weight: 1, State: in.status.state()}
 	if id := in.meta[k.ID]; k.ID != "" && id != "" {
 		e.ID = id
 	}
@@ -142,26 +143,7 @@
 	return e, flaw, nil
 }
 
-func same(a, b *Entry) bool {
+func same(a, b *roster.Entry) bool {
 	return a.ID == b.ID && a.Address == b.Address && a.Zone == b.Zone && a.Kind == b.Kind && a.Cell == b.Cell &&
 		a.Weight == b.Weight && a.Started == b.Started && a.State == b.State && maps.Equal(a.Labels, b.Labels)
 }
-
-// Entry is one app node as a source says it.
-type Entry struct {
-	ID, Address, Zone, Kind string
-	Cell                    int
-	Weight                  float64
-	Started                 time.Duration // on the node's clock; 0: long ago
-	State                   State
-	Labels                  map[string]string
-}
-
-// State of an entry.
-type State uint8
-
-const (
-	Up State = iota
-	Draining
-	Gone
-)
--- a/internal/registry/eureka/eureka.go
+++ b/internal/registry/eureka/eureka.go
@@ -15,13 +15,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"pewterrudder/internal/roster"
 )
 
 // Sink is told what is heard, by one goroutine, in order.
 type Sink interface {
 	// Said tells all entries, or the ones that changed; those that left are Gone. The revision counts the answers that
 	// told something new: Eureka has none of its own that means anything.
-	Said(whole bool, revision int64, entries []Entry)
+	Said(whole bool, revision int64, entries []roster.Entry)
 	Heard()      // the registry answered, and nothing is new
 	Broke(error) // a call failed, or has had no answer for long
 }
--- a/internal/registry/eureka/eureka_test.go
+++ b/internal/registry/eureka/eureka_test.go
@@ -15,6 +15,7 @@
 
 	"pewterrudder/internal/lab/eurekad"
 	"pewterrudder/internal/registry/eureka"
+	"pewterrudder/internal/roster"
 )
 
 // rig is a registry on a socket, and a client whose words build a list.
@@ -26,7 +27,7 @@
 
 	mu     sync.Mutex
 	news   *sync.Cond
-	list   map[string]eureka.Entry
+	list   map[string]roster.Entry
 	wholes int
 	said   int
 	heard  int
@@ -35,7 +36,7 @@
 	notes  []string
 }
 
-func (r *rig) Said(whole bool, revision int64, entries []eureka.Entry) {
+func (r *rig) Said(whole bool, revision int64, entries []roster.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if whole {
@@ -43,7 +44,7 @@
 		r.wholes++
 	}
 	for _, e := range entries {
-		if e.State == eureka.Gone {
+		if e.State == roster.Gone {
 			delete(r.list, e.ID)
 		} else {
 			r.list[e.ID] = e
@@ -98,7 +99,7 @@
 
 // newRig starts both. The client polls quickly, so that a test waits for events that come soon.
 func newRig(t *testing.T, options eurekad.Options, change func(*eureka.Settings)) *rig {
-	r := &rig{t: t, list: map[string]eureka.Entry{}}
+	r := &rig{t: t, list: map[string]roster.Entry{}}
 	r.news = sync.NewCond(&r.mu)
 	options.On = func(c eurekad.Call) {
 		r.mu.Lock()
@@ -169,13 +170,13 @@
 		r.register(1)
 		r.client.Start()
 		r.until("the first list", func() bool { return r.ids() == "n01" })
-		var e eureka.Entry
+		var e roster.Entry
 		r.look(func() { e = r.list["n01"] })
 		if e.Started <= 0 || e.Started > clockStart+time.Minute {
 			t.Errorf("started %v", e.Started)
 		}
 		e.Started = 0
-		want := "{n01 10.0.0.1:5001 a m2 3 2.5 0s 0 map[other:x]}"
+		want := "{n01 10.0.0.1:5001 a m2 3 2.5 0s up map[other:x]}"
 		if got := fmt.Sprint(e); got != want {
 			t.Errorf("%s, want %s", got, want)
 		}
@@ -187,9 +188,9 @@
 		r.reg.SetStatus("NODES", "n05", "UNKNOWN", "UNKNOWN")
 		r.reg.Leave("NODES", "n06")
 		r.until("what no status gives work to", func() bool {
-			return r.ids() == "n01 n02 n03 n05" && r.list["n01"].State == eureka.Up &&
-				r.list["n02"].State == eureka.Draining && r.list["n03"].State == eureka.Draining &&
-				r.list["n05"].State == eureka.Draining
+			return r.ids() == "n01 n02 n03 n05" && r.list["n01"].State == roster.Up &&
+				r.list["n02"].State == roster.Draining && r.list["n03"].State == roster.Draining &&
+				r.list["n05"].State == roster.Draining
 		})
 		r.reg.SetMetadata("NODES", "n01", map[string]string{"weight": "4", "cell": "x", "zone": "b"})
 		r.until("changed metadata", func() bool { return r.list["n01"].Weight == 4 && r.list["n01"].Zone == "b" })
@@ -232,14 +233,14 @@
 	r.client.Start()
 	r.until("the first list", func() bool { return r.ids() == "n01 n02 n03" })
 	r.reg.SetStatus("NODES", "n02", "DOWN", "DOWN")
-	r.until("one down", func() bool { return r.list["n02"].State == eureka.Draining })
+	r.until("one down", func() bool { return r.list["n02"].State == roster.Draining })
 	time.Sleep(2 * time.Millisecond) // the registry's time has whole milliseconds
 	r.reg.Set(eurekad.Stall)         // until both changes are there
 	r.reg.SetStatus("NODES", "n02", "", "UP")
 	r.reg.SetStatus("NODES", "n03", "DOWN", "DOWN")
 	r.reg.Set(eurekad.None)
 	r.until("the other down", func() bool {
-		return r.list["n02"].State == eureka.Up && r.list["n03"].State == eureka.Draining
+		return r.list["n02"].State == roster.Up && r.list["n03"].State == roster.Draining
 	})
 	wholes := 0
 	r.look(func() { wholes = r.wholes })
@@ -249,7 +250,7 @@
 		return n > 2 && r.calls[n-1].Path == "/apps" && r.calls[n-2].Path == "/apps/delta"
 	})
 	r.look(func() {
-		if r.list["n02"].State != eureka.Up || r.list["n03"].State != eureka.Draining || r.wholes != wholes {
+		if r.list["n02"].State != roster.Up || r.list["n03"].State != roster.Draining || r.wholes != wholes {
 			t.Errorf("%v", r.list)
 		}
 	})
@@ -376,7 +377,7 @@
 	}
 	r.client.Start()
 	r.until("what is left", func() bool { return r.ids() == "n00 n06" })
-	var e eureka.Entry
+	var e roster.Entry
 	if r.look(func() { e = r.list["n06"] }); e.Weight != 1 || e.Cell != 0 {
 		t.Errorf("%+v", e)
 	}
--- a/internal/registry/eureka/fetch.go
+++ b/internal/registry/eureka/fetch.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"pewterrudder/internal/roster"
 )
 
 var (
@@ -39,7 +41,7 @@
 
 	whole   bool // the entries are all
 	news    bool
-	entries []Entry
+	entries []roster.Entry
 	flaw    error
 	flaws   int
 	delta   bool // a delta did
--- a/internal/registry/eureka/view.go
+++ b/internal/registry/eureka/view.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"pewterrudder/internal/roster"
 )
 
 const (
@@ -23,7 +25,7 @@
 // held is one instance as last told. Instances that are not wanted, or cannot be called, are held without an entry:
 // the hash code counts them.
 type held struct {
-	entry       Entry
+	entry       roster.Entry
 	listed      bool // entry counts
 	wanted      bool // it would, but for its status
 	status      status
@@ -191,7 +193,7 @@
 	default:
 		e.Started = v.since(in.up, a.skew, a.now)
 	}
-	h.entry, h.wanted, h.listed = e, true, e.State != Gone
+	h.entry, h.wanted, h.listed = e, true, e.State != roster.Gone
 	return h
 }
 
@@ -239,9 +241,9 @@
 }
 
 // commit makes the answer the view. It gives the changes, or, for a whole list that differs, all entries.
-func (a *answer) commit() (entries []Entry, news bool) {
+func (a *answer) commit() (entries []roster.Entry, news bool) {
 	v := a.v
-	var gone []Entry
+	var gone []roster.Entry
 	if a.whole {
 		for key, h := range v.held {
 			if _, changed := a.aside[key]; changed || h.seen == v.gen {
@@ -293,19 +295,19 @@
 	if !a.whole || !news {
 		return append(gone, entries...), news
 	}
-	entries = make([]Entry, 0, len(v.held))
+	entries = make([]roster.Entry, 0, len(v.held))
 	for _, h := range v.held {
 		if h.listed {
 			entries = append(entries, h.entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(entries, func(a, b roster.Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return entries, true
 }
 
-func (v *view) drop(key string, h *held, gone []Entry) []Entry {
+func (v *view) drop(key string, h *held, gone []roster.Entry) []roster.Entry {
 	if h.listed {
-		gone = append(gone, Entry{ID: h.entry.ID, Address: h.entry.Address, State: Gone})
+		gone = append(gone, roster.Entry{ID: h.entry.ID, Address: h.entry.Address, State: roster.Gone})
 		if v.owner[h.entry.ID] == key {
 			delete(v.owner, h.entry.ID)
 		}
--- a/internal/registry/eureka/view_test.go
+++ b/internal/registry/eureka/view_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pewterrudder/internal/lab/eurekad"
+	"pewterrudder/internal/roster"
 )
 
 func all(string) bool { return true }
@@ -170,10 +171,10 @@
 	r.changes = append(r.changes, in)
 }
 
-func (r *truth) list() map[string]Entry {
-	out := map[string]Entry{}
+func (r *truth) list() map[string]roster.Entry {
+	out := map[string]roster.Entry{}
 	for id, in := range r.apps {
-		if e, _, err := in.entry(&Keys{}, false); err == nil && e.State != Gone {
+		if e, _, err := in.entry(&Keys{}, false); err == nil && e.State != roster.Gone {
 			out[id] = e
 		}
 	}
@@ -189,7 +190,7 @@
 		rnd := rand.New(rand.NewPCG(seed, 7))
 		r := &truth{apps: map[string]*instance{}}
 		v := newView(&Settings{Most: 100})
-		told, now := map[string]Entry{}, time.Duration(0)
+		told, now := map[string]roster.Entry{}, time.Duration(0)
 		heard := func(a *answer, h head) error {
 			if err := a.wrong(h); err != nil {
 				return err
@@ -200,7 +201,7 @@
 			}
 			for _, e := range entries {
 				e.Started = 0
-				if e.State == Gone {
+				if e.State == roster.Gone {
 					delete(told, e.ID)
 				} else {
 					told[e.ID] = e
