Ask a slow store patiently and a dead one again, and hear etcd's own client through the stand-in

After a break the store is held against what we followed before an event is believed: one that lost its data and was written to past our revision, at the same term, is another store.

--- a/internal/lab/kvd/faults.go
+++ b/internal/lab/kvd/faults.go
@@ -93,31 +93,45 @@
 
 var errStalled = errors.New("kvd: stalled")
 
-// hold waits as stall and slowness have it. An error means that nothing must be said any more.
+// hold waits before an answer as stall and slowness have it. An error means that nothing must be said any more.
 func (f *Faults) hold(ctx context.Context) error {
+	if err := f.stalled(ctx); err != nil {
+		return err
+	}
 	f.fmu.Lock()
-	stalled, delay, changed, over := f.chance[Stall] > 0, f.delay, f.changed, f.over
+	delay, changed := f.delay, f.changed
 	if f.chance[Slow] == 0 {
 		delay = 0
 	}
 	f.fmu.Unlock()
-	switch {
-	case over:
-		return errStalled
-	case stalled:
+	if delay == 0 {
+		return nil
+	}
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-changed:
+		return f.stalled(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// stalled waits for the end of a stall, which is an error.
+func (f *Faults) stalled(ctx context.Context) error {
+	f.fmu.Lock()
+	stalled, changed, over := f.chance[Stall] > 0, f.changed, f.over
+	f.fmu.Unlock()
+	if stalled && !over {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 		}
+	}
+	if stalled || over {
 		return errStalled
-	case delay > 0:
-		t := time.NewTimer(delay)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
 	}
 	return nil
 }
--- a/internal/lab/kvd/gateway.go
+++ b/internal/lab/kvd/gateway.go
@@ -30,9 +30,6 @@
 
 // gateway answers one request in JSON.
 func (s *Server) gateway(w http.ResponseWriter, r *http.Request) {
-	if s.hold(r.Context()) != nil {
-		panic(http.ErrAbortHandler)
-	}
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
 		http.Error(w, "Method Not Allowed", http.StatusMethodNotAllowed)
@@ -43,6 +40,9 @@
 		refuse(w, status.Error(codes.InvalidArgument, err.Error()))
 		return
 	}
+	if s.hold(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case s.draw(Busy):
 		refuse(w, status.Error(codes.Unavailable, "etcdserver: too many requests"))
--- a/internal/lab/kvd/grpc.go
+++ b/internal/lab/kvd/grpc.go
@@ -95,6 +95,9 @@
 }
 
 func (w watchService) Watch(st pb.Watch_WatchServer) error {
+	if err := w.s.hold(st.Context()); err != nil {
+		return err
+	}
 	ask := make(chan *pb.WatchRequest)
 	go func() { // ends with the stream, whose context Recv and the send below both hear
 		defer close(ask)
--- a/internal/lab/kvd/watch.go
+++ b/internal/lab/kvd/watch.go
@@ -123,7 +123,7 @@
 	var all []*watcher
 	tell := func(w *watcher, r *pb.WatchResponse) error {
 		for _, part := range fragments(w, r) {
-			if err := s.hold(ctx); err != nil {
+			if err := s.stalled(ctx); err != nil {
 				return err
 			}
 			if err := send(part); err != nil {
@@ -142,7 +142,7 @@
 		s.Store.mu.Lock()
 		moved := s.moved
 		s.Store.mu.Unlock()
-		if err := s.hold(ctx); err != nil {
+		if err := s.stalled(ctx); err != nil {
 			return err
 		}
 		for i := 0; i < len(all); i++ {
--- a/internal/registry/kv/attempts.go
+++ b/internal/registry/kv/attempts.go
@@ -66,9 +66,11 @@
 	c.due = time.Now().Add(c.jitter(d))
 }
 
-// broke tells a failure at an endpoint, which is left alone for a while.
+// rested leaves an endpoint alone for a while.
+func (c *Client) rested(at *endpoint) { at.until = time.Now().Add(c.jitter(2 * rest)) }
+
+// broke tells a failure at an endpoint.
 func (c *Client) broke(at *endpoint, err error) {
-	at.until = time.Now().Add(c.jitter(2 * rest))
 	c.pause(&c.failures)
 	c.resumed = true
 	if errors.As(err, new(cut)) {
@@ -174,13 +176,14 @@
 				return none, nil, c.ctx.Err()
 			case errors.As(r.err, &v):
 				r.of.cancel()
-				r.of.at.until = time.Now().Add(c.jitter(2 * rest)) // a member that lags behind the others says so too
+				c.rested(r.of.at) // a member that lags behind the others says so too
 				return none, r.of, r.err
 			}
 			r.of.cancel()
 			if r.of.late {
 				r.err = errLate
 			}
+			c.rested(r.of.at)
 			c.broke(r.of.at, r.err)
 			if !r.of.late { // the next one does not wait for it any more
 				next.Reset(max(0, time.Until(c.due)))
--- a/internal/registry/kv/entry.go
+++ b/internal/registry/kv/entry.go
@@ -8,26 +8,10 @@
 	"net"
 	"strconv"
 	"time"
-)
-
-// State of an app node as the store tells it.
-type State uint8
 
-const (
-	Up State = iota
-	Draining
-	Gone
+	"pewterrudder/internal/roster"
 )
 
-// Entry is one app node.
-type Entry struct {
-	ID, Address, Zone, Kind string
-	Cell                    int
-	Weight                  float64
-	Started                 time.Duration // on the node's clock; 0: long ago
-	State                   State
-}
-
 const (
 	maxValue  = 64 << 10 // bytes of one entry: some hundred times what its fields take
 	maxWord   = 256      // bytes of an id, a zone or a kind
@@ -50,22 +34,22 @@
 }
 
 // Decode reads one value. started maps Unix milliseconds on the node's clock; it is not asked for 0, "long ago".
-func Decode(raw []byte, started func(ms float64) time.Duration) (Entry, error) {
+func Decode(raw []byte, started func(ms float64) time.Duration) (roster.Entry, error) {
 	if len(raw) > maxValue {
-		return Entry{}, fmt.Errorf("%d bytes are no entry", len(raw))
+		return roster.Entry{}, fmt.Errorf("%d bytes are no entry", len(raw))
 	}
 	var f fields
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return Entry{}, err
+		return roster.Entry{}, err
 	}
-	e := Entry{ID: f.ID, Address: f.Address, Zone: f.Zone, Kind: f.Kind, Cell: f.Cell, Weight: 1}
+	e := roster.Entry{ID: f.ID, Address: f.Address, Zone: f.Zone, Kind: f.Kind, Cell: f.Cell, Weight: 1}
 	if f.Weight != nil {
 		e.Weight = *f.Weight
 	}
 	switch f.State {
 	case "up":
 	case "draining":
-		e.State = Draining
+		e.State = roster.Draining
 	default:
 		return e, fmt.Errorf("state: %.40q is neither up nor draining", f.State)
 	}
--- a/internal/registry/kv/follow.go
+++ b/internal/registry/kv/follow.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pewterrudder/internal/roster"
 )
 
 const (
@@ -127,13 +129,13 @@
 	return raw.Bytes(), nil
 }
 
-// fetch reads one page from a key on, at a revision, 0 for the present.
-func (c *Client) fetch(ctx context.Context, at *endpoint, from string, revision int64) (page, error) {
-	raw, err := c.read(ctx, at, c.question(from, revision))
+// fetch reads one page, and how many keys there are from its start on.
+func (c *Client) fetch(ctx context.Context, at *endpoint, q rangeQuery, from string) (page, int64, error) {
+	raw, err := c.read(ctx, at, q)
 	if err != nil {
-		return page{}, err
+		return page{}, 0, err
 	}
-	return readPage(raw, from, c.end)
+	return readPage(raw, from, c.end, q.Newer != "")
 }
 
 // snapshot reads all pages at the revision of the first and tells what they bring.
@@ -142,13 +144,9 @@
 	var first origin
 	cuts := c.cuts
 	var news []change
-	var at *endpoint
 	for from, more := c.prefix, true; more; {
-		p, a, err := ask(c, func(ctx context.Context, at *endpoint) (page, error) { return c.fetch(ctx, at, from, first.revision) })
-		if err == nil {
-			a.cancel()
-			at = a.at
-		} else {
+		p, _, err := c.ask(c.question(from, first.revision), from)
+		if err != nil {
 			if errors.Is(err, errCompacted) && first.revision != 0 {
 				c.pause(&c.verdicts) // compacted while it was read: from the start, at the new present
 				return
@@ -185,7 +183,7 @@
 		more = p.more
 	}
 	whole := c.whole
-	if cuts != c.cuts && !(whole && c.glance(at, first, whatOf(each(news))) == nil) {
+	if cuts != c.cuts && !(whole && c.glance(c.ask, first, whatOf(each(news))) == nil) {
 		c.pause(&c.verdicts)
 		return
 	}
@@ -209,7 +207,7 @@
 }
 
 // tell changes, or that there are none.
-func (c *Client) tell(entries []Entry) {
+func (c *Client) tell(entries []roster.Entry) {
 	if len(entries) == 0 {
 		c.sink.Heard()
 		return
@@ -313,12 +311,20 @@
 	}
 	c.sink.Heard()
 	for {
+		select {
+		case <-c.wanted:
+			c.known, c.whole = false, true
+			return
+		default:
+		}
 		if since := time.Since(c.looked); !c.partial && (c.resumed && since >= looksApart || since >= lookEvery) {
 			c.looked = time.Now() // also where it fails: the next look is soon enough
-			if v := (verdict{}); errors.As(c.look(s.at), &v) {
+			s.quiet.Stop()
+			if v := (verdict{}); errors.As(c.look(c.once(s.at)), &v) {
 				c.judge(v)
 				return
 			}
+			s.quiet.Reset(silence)
 		}
 		m, err := c.next(s)
 		switch {
@@ -328,6 +334,9 @@
 			c.failures, c.verdicts = 0, 0
 			return // asked for anew, without a word
 		case err != nil:
+			if time.Since(s.opened) < sound {
+				c.rested(s.at) // else it has served, and is likelier to serve again than those that have not
+			}
 			c.broke(s.at, err)
 			return
 		}
@@ -336,6 +345,7 @@
 			if err := refusal(m); m.compacted {
 				c.judge(err)
 			} else {
+				c.rested(s.at)
 				c.broke(s.at, err)
 			}
 			return
@@ -361,7 +371,7 @@
 		c.sink.Heard()
 		return
 	}
-	var out []Entry
+	var out []roster.Entry
 	for _, r := range m.events {
 		switch {
 		case r.mod <= c.origin.revision: // told before
@@ -384,21 +394,47 @@
 // looked at whole. Of a longer one the number of keys and those written last are, at our revision; what that misses (as
 // many keys deleted, but other ones) is found by the look that follows within looksApart.
 func (c *Client) same(s *stream) bool {
-	err := error(nil)
+	s.quiet.Stop() // it waits until we read again
+	defer s.quiet.Reset(silence)
+	var err error
 	if len(c.view.keys) <= c.page {
-		err = c.look(s.at)
+		err = c.look(c.ask)
 	} else {
-		err = c.glance(s.at, c.origin, whatOf(maps.All(c.view.keys)))
+		err = c.glance(c.ask, c.origin, whatOf(maps.All(c.view.keys)))
 	}
-	if err == nil {
-		return true
+	if err != nil {
+		c.judge(err)
+	}
+	return err == nil
+}
+
+// asker has one answer to a range read.
+type asker func(q rangeQuery, from string) (page, int64, error)
+
+// ask until there is an answer.
+func (c *Client) ask(q rangeQuery, from string) (page, int64, error) {
+	type part struct {
+		page
+		count int64
+	}
+	p, a, err := ask(c, func(ctx context.Context, at *endpoint) (part, error) {
+		p, count, err := c.fetch(ctx, at, q, from)
+		return part{p, count}, err
+	})
+	if err != nil {
+		return page{}, 0, err
 	}
-	if v := (verdict{}); errors.As(err, &v) {
-		c.judge(v)
-	} else if c.ctx.Err() == nil {
-		c.broke(s.at, err)
+	a.cancel()
+	return p.page, p.count, nil
+}
+
+// once asks one endpoint, one time.
+func (c *Client) once(at *endpoint) asker {
+	return func(q rangeQuery, from string) (page, int64, error) {
+		ctx, cancel := context.WithTimeout(c.ctx, eagerWait)
+		defer cancel()
+		return c.fetch(ctx, at, q, from)
 	}
-	return false
 }
 
 // gist of a list: what glance compares.
@@ -422,16 +458,10 @@
 }
 
 // glance compares the number of keys, and those of the last revision that wrote any, with the store at a revision.
-func (c *Client) glance(at *endpoint, of origin, want gist) error {
+func (c *Client) glance(ask asker, of origin, want gist) error {
 	q := c.question(c.prefix, of.revision)
 	q.Newer = strconv.FormatInt(want.newest, 10)
-	ctx, cancel := context.WithTimeout(c.ctx, eagerWait)
-	defer cancel()
-	raw, err := c.read(ctx, at, q)
-	if err != nil {
-		return err
-	}
-	p, count, err := readPart(raw, c.prefix, c.end)
+	p, count, err := ask(q, c.prefix)
 	if err != nil {
 		return err
 	}
@@ -447,12 +477,10 @@
 }
 
 // look holds the view against all keys at its own revision. A difference is a verdict.
-func (c *Client) look(at *endpoint) error {
+func (c *Client) look(ask asker) error {
 	seen := 0
 	for from, more := c.prefix, true; more; {
-		ctx, cancel := context.WithTimeout(c.ctx, eagerWait)
-		p, err := c.fetch(ctx, at, from, c.origin.revision)
-		cancel()
+		p, _, err := ask(c.question(from, c.origin.revision), from)
 		if err != nil {
 			return err
 		}
--- a/internal/registry/kv/kv.go
+++ b/internal/registry/kv/kv.go
@@ -29,15 +29,18 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
+
+	"pewterrudder/internal/roster"
 )
 
 // Sink takes what is heard. Its methods are called by one goroutine, one at a time; the entries are the sink's own.
 type Sink interface {
 	// Said tells a whole list, or what has changed. A whole list comes first, and where the store's history is not the
 	// one that we followed: what it lacks has not been removed by anybody, and how to take that is the sink's.
-	Said(whole bool, revision int64, entries []Entry)
+	Said(whole bool, revision int64, entries []roster.Entry)
 	// Heard is a sign of life without news.
 	Heard()
 	// Broke says that an attempt failed or a watch ended. The list told stays; attempts go on.
@@ -77,6 +80,8 @@
 	stop  context.CancelFunc
 	tasks sync.WaitGroup // goroutines
 
+	wanted chan struct{} // the whole list, told anew
+
 	mu     sync.Mutex
 	none   *sync.Cond // no connection is left
 	conns  int        // connections and dials
@@ -99,7 +104,8 @@
 
 // New starts to follow a store.
 func New(s Settings, sink Sink) (*Client, error) {
-	c := &Client{sink: sink, log: s.Log, prefix: s.Prefix, page: s.Page, rng: rand.New(rand.NewPCG(s.Seed, 0x6b7663)), whole: true}
+	c := &Client{sink: sink, log: s.Log, prefix: s.Prefix, page: s.Page, rng: rand.New(rand.NewPCG(s.Seed, 0x6b7663)), whole: true,
+		wanted: make(chan struct{}, 1)}
 	if c.page == 0 {
 		c.page = defaultPage
 	}
@@ -144,6 +150,14 @@
 	return c, nil
 }
 
+// Again has the whole list read and told anew, as soon as the watch has said something or has been silent for a while.
+func (c *Client) Again() {
+	select {
+	case c.wanted <- struct{}{}:
+	default:
+	}
+}
+
 // Close ends everything and returns when no goroutine and no connection is left. The sink hears nothing after it.
 func (c *Client) Close() {
 	c.stop()
@@ -226,8 +240,10 @@
 }
 
 func baseOf(at string) (string, error) {
-	if host, port, err := net.SplitHostPort(at); err == nil && host != "" && port != "" {
-		return "http://" + at, nil
+	if host, port, err := net.SplitHostPort(at); err == nil && host != "" {
+		if n, err := strconv.ParseUint(port, 10, 16); err == nil && n > 0 {
+			return "http://" + at, nil
+		}
 	}
 	u, err := url.Parse(at)
 	switch {
--- a/internal/registry/kv/model_test.go
+++ b/internal/registry/kv/model_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 
 	"pewterrudder/internal/lab/kvd"
+	"pewterrudder/internal/roster"
 )
 
 const prefix = "nodes/"
@@ -30,7 +32,7 @@
 	s       *kvd.Server
 	pasts   []*kvd.Store    // the store before restarts and compactions
 	sense   map[string]bool // of each value that was written
-	view    map[string]Entry
+	view    map[string]roster.Entry
 	told    int64
 	whole   int
 	changed int
@@ -39,17 +41,19 @@
 	exact   bool // events may not be missing
 }
 
+func same(a, b roster.Entry) bool { return reflect.DeepEqual(a, b) }
+
 func started(ms float64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-func (m *model) Said(whole bool, revision int64, entries []Entry) {
+func (m *model) Said(whole bool, revision int64, entries []roster.Entry) {
 	if whole {
 		m.whole++
-		m.view = map[string]Entry{}
+		m.view = map[string]roster.Entry{}
 	} else if m.changed++; m.whole == 0 {
 		m.t.Error("changes before the first list")
 	}
 	for _, e := range entries {
-		if e.State == Gone {
+		if e.State == roster.Gone {
 			if _, ok := m.view[e.ID]; !ok {
 				m.t.Errorf("%s has gone and was not there", e.ID)
 			}
@@ -70,7 +74,7 @@
 		if !ok {
 			continue
 		}
-		if known = true; maps.Equal(want, m.view) {
+		if known = true; maps.EqualFunc(want, m.view, same) {
 			m.checked++
 			return
 		}
@@ -89,23 +93,23 @@
 }
 
 // at is the list that a store holds at a revision, 0 for its present.
-func (m *model) at(s *kvd.Store, revision int64) (map[string]Entry, bool) {
+func (m *model) at(s *kvd.Store, revision int64) (map[string]roster.Entry, bool) {
 	a, err := s.Range(&pb.RangeRequest{Key: []byte(prefix), RangeEnd: []byte("nodes0"), Revision: revision})
 	if err != nil {
 		return nil, false
 	}
-	out, mods := map[string]Entry{}, map[string]int64{}
+	out, mods := map[string]roster.Entry{}, map[string]int64{}
 	for _, kv := range a.Kvs {
 		var f fields
 		if !m.sense[string(kv.Value)] || json.Unmarshal(kv.Value, &f) != nil || mods[f.ID] >= kv.ModRevision {
 			continue
 		}
-		e := Entry{ID: f.ID, Address: f.Address, Zone: f.Zone, Kind: f.Kind, Cell: f.Cell, Weight: 1, Started: started(f.Started)}
+		e := roster.Entry{ID: f.ID, Address: f.Address, Zone: f.Zone, Kind: f.Kind, Cell: f.Cell, Weight: 1, Started: started(f.Started)}
 		if f.Weight != nil {
 			e.Weight = *f.Weight
 		}
 		if f.State == "draining" {
-			e.State = Draining
+			e.State = roster.Draining
 		}
 		out[f.ID], mods[f.ID] = e, kv.ModRevision
 	}
@@ -189,7 +193,7 @@
 // history plays one life of a store with one client on it, and says what was seen.
 func history(t *testing.T, seed uint64, lies bool) (m *model) {
 	synctest.Test(t, func(t *testing.T) {
-		m = &model{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), sense: map[string]bool{}, view: map[string]Entry{}, exact: !lies}
+		m = &model{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), sense: map[string]bool{}, view: map[string]roster.Entry{}, exact: !lies}
 		m.s = kvd.New(kvd.Options{Seed: seed, Notes: []time.Duration{time.Second, -1}[m.rng.IntN(2)]})
 		defer m.s.Close()
 		w := newWire()
@@ -203,7 +207,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
+		defer func() {
+			if c.Close(); w.left() != 0 {
+				t.Errorf("seed %d: %d connections are left", seed, w.left())
+			}
+		}()
 		backups := []*kvd.Backup{m.past()}
 		for range 10 + m.rng.IntN(40) {
 			switch m.rng.IntN(24) {
@@ -269,7 +277,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		want, _ := m.at(m.s.Store, 0)
-		if !maps.Equal(want, m.view) {
+		if !maps.EqualFunc(want, m.view, same) {
 			t.Errorf("seed %d: quiet for 2 s, and the store has %v, we hold %v", seed, want, m.view)
 		}
 	})
--- a/internal/registry/kv/net_test.go
+++ b/internal/registry/kv/net_test.go
@@ -12,10 +12,14 @@
 	mu    sync.Mutex
 	calls chan net.Conn
 	down  bool // nobody listens
+	open  int  // connections that the client has not closed
+	dials map[string]int
 	ended chan struct{}
 }
 
-func newWire() *wire { return &wire{calls: make(chan net.Conn), ended: make(chan struct{})} }
+func newWire() *wire {
+	return &wire{calls: make(chan net.Conn), dials: map[string]int{}, ended: make(chan struct{})}
+}
 
 func (w *wire) set(down bool) {
 	w.mu.Lock()
@@ -23,9 +27,10 @@
 	w.down = down
 }
 
-func (w *wire) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+func (w *wire) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	w.mu.Lock()
 	down := w.down
+	w.dials[address]++
 	w.mu.Unlock()
 	if down {
 		return nil, errors.New("refused")
@@ -33,7 +38,10 @@
 	here, there := net.Pipe()
 	select {
 	case w.calls <- there:
-		return here, nil
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.open++
+		return &counted{here, w}, nil
 	case <-w.ended:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
@@ -62,3 +70,23 @@
 }
 
 func (w *wire) Addr() net.Addr { return &net.UnixAddr{Name: "memory"} }
+
+// counted is a connection of the client's.
+type counted struct {
+	net.Conn
+	w *wire
+}
+
+func (c *counted) Close() error {
+	c.w.mu.Lock()
+	c.w.open--
+	c.w.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// left is how many connections the client has not given back.
+func (w *wire) left() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
--- a/internal/registry/kv/view.go
+++ b/internal/registry/kv/view.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pewterrudder/internal/roster"
 )
 
 // held is a key of the store as last told.
 type held struct {
 	mod   int64
-	sum   uint64 // of the value
-	entry Entry  // without an id: the value makes no sense
-	seen  uint64 // the reading that saw it last
+	sum   uint64       // of the value
+	entry roster.Entry // without an id: the value makes no sense
+	seen  uint64       // the reading that saw it last
 }
 
 // view is the part of the store that we follow, at one revision. Where two keys name the same id, the one that was
@@ -64,7 +66,7 @@
 }
 
 // put takes a key's new value, and adds to the changes what it makes of the entries.
-func (v *view) put(key string, h *held, out []Entry) []Entry {
+func (v *view) put(key string, h *held, out []roster.Entry) []roster.Entry {
 	was := v.keys[key]
 	v.keys[key] = h
 	if was != nil && was.entry.ID != "" && was.entry.ID != h.entry.ID {
@@ -85,7 +87,7 @@
 		if was == nil || was.entry.ID != id {
 			v.doubles++
 		} // else the two change places
-	case known && was.entry == h.entry:
+	case known && was.sum == h.sum:
 		return out // written again without a change
 	}
 	v.owner[id] = key
@@ -93,7 +95,7 @@
 }
 
 // drop takes a key's deletion.
-func (v *view) drop(key string, out []Entry) []Entry {
+func (v *view) drop(key string, out []roster.Entry) []roster.Entry {
 	was := v.keys[key]
 	if was == nil {
 		return out
@@ -106,7 +108,7 @@
 }
 
 // release an id from a key that does not name it any more. Another key that does takes its place.
-func (v *view) release(key, id string, out []Entry) []Entry {
+func (v *view) release(key, id string, out []roster.Entry) []roster.Entry {
 	if v.owner[id] != key {
 		v.doubles--
 		return out
@@ -124,7 +126,7 @@
 		}
 	}
 	if heir == "" {
-		return append(out, Entry{ID: id, State: Gone})
+		return append(out, roster.Entry{ID: id, State: roster.Gone})
 	}
 	v.doubles--
 	v.owner[id] = heir
@@ -132,8 +134,8 @@
 }
 
 // whole gives all entries that count, in the order of their keys.
-func (v *view) whole() []Entry {
-	out := make([]Entry, 0, len(v.owner))
+func (v *view) whole() []roster.Entry {
+	out := make([]roster.Entry, 0, len(v.owner))
 	for _, k := range slices.Sorted(maps.Keys(v.keys)) {
 		if h := v.keys[k]; h.entry.ID != "" && v.owner[h.entry.ID] == k {
 			out = append(out, h.entry)
@@ -153,7 +155,7 @@
 }
 
 // turn makes the view that of a reading: what differs is put, what the reading has not seen is dropped.
-func (v *view) turn(news []change, reading uint64) (out []Entry) {
+func (v *view) turn(news []change, reading uint64) (out []roster.Entry) {
 	for _, c := range news {
 		c.held.seen = reading
 		out = v.put(c.key, c.held, out)
--- a/internal/registry/kv/wire.go
+++ b/internal/registry/kv/wire.go
@@ -136,23 +136,23 @@
 	more    bool
 }
 
-// readPage reads an answer to a range that starts at a key. A page that says less than it counts, or in another order, is
-// a fault: half a list must never pass for the whole.
-func readPage(raw []byte, from, end string) (page, error) {
+// readPage reads an answer to a range that starts at a key, and the number of keys from there on. A page that says less
+// than it counts, or in another order, is a fault: half a list must never pass for the whole. Where only some keys were
+// asked for, the count is of all, as etcd has it.
+func readPage(raw []byte, from, end string, some bool) (page, int64, error) {
 	p, count, err := readPart(raw, from, end)
 	if err != nil {
-		return page{}, err
+		return page{}, 0, err
 	}
 	switch n := int64(len(p.records)); {
-	case !p.more && count != n:
-		return page{}, fmt.Errorf("range: %d keys where %d are counted", n, count)
+	case !some && !p.more && count != n:
+		return page{}, 0, fmt.Errorf("range: %d keys where %d are counted", n, count)
 	case p.more && (n == 0 || count <= n):
-		return page{}, fmt.Errorf("range: more is said of %d keys, %d counted", n, count)
+		return page{}, 0, fmt.Errorf("range: more is said of %d keys, %d counted", n, count)
 	}
-	return p, nil
+	return p, count, nil
 }
 
-// readPart reads an answer that need not hold all that it counts.
 func readPart(raw []byte, from, end string) (p page, count int64, err error) {
 	var in rangeAnswer
 	if err := json.Unmarshal(raw, &in); err != nil {
