Start the registries of the settings file, and show the balancer in Eureka

Need: neighbouring services register in Eureka, and the roster may move into a key-value store. Change: the program starts the sources that the settings file names; what they say goes to the reducer. With register it shows itself: up once it knows an app node, out of service while it drains, gone at its end. Discovery's blank lines are signs of life where a roster wants them.

--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -22,6 +22,7 @@
 	"pewterrudder/internal/flow"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/registry"
+	"pewterrudder/internal/registry/eureka"
 )
 
 const (
@@ -100,11 +101,23 @@
 	nodes := delegation.New(post, cfg.Settings.Stats.Columns, delegation.Bounds{Largest: flows.MaxAnswerBytes,
 		Room: flow.NewRoom(flows.Room(cfg.Limits)), Wait: flows.Wait()})
 	list := registry.New(post, func(text string) { log.Print(text) }, started)
+	discovery, err := believe(cfg, state)
+	if err != nil {
+		return err
+	}
+	if discovery >= 0 {
+		list.Hear(func() { post(reducer.Heard{Source: discovery}) })
+	}
 
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	others, err := follow(cfg, post, now, started)
+	if err != nil {
+		return err
+	}
+	defer others.stop()
 	go func() {
 		var effects []reducer.Effect
 		for ev := range events {
@@ -121,10 +134,13 @@
 					nodes.Close(e)
 				case reducer.Watch:
 					list.Watch(e)
+				case reducer.Refetch:
+					others.again(e.Source)
 				case reducer.Arm:
 					time.AfterFunc(e.After, func() { post(e.Event) })
 				case reducer.Ready:
 					front.Ready()
+					others.show(eureka.Serving)
 				case reducer.Log:
 					log.Print(e.Text)
 				}
@@ -171,6 +187,7 @@
 			}
 		case <-term:
 			log.Print("draining")
+			others.show(eureka.OutOfService)
 			term = nil   // once is enough
 			served = nil // the listener ends by itself now
 			go func() { front.Drain(slices.Max(deadlines)); close(drained) }()
--- a/internal/config/roster.go
+++ b/internal/config/roster.go
@@ -23,8 +23,9 @@
 	Kind      string   `json:"kind"` // discovery, eureka or kv
 	Role      string   `json:"role"` // primary (where left out), joined or fallback
 	Addresses []string `json:"addresses"`
-	Apps      []string `json:"apps"`   // eureka: the applications that count; none: all
-	Prefix    string   `json:"prefix"` // kv: of the keys that are entries
+	Apps      []string `json:"apps"`     // eureka: the applications that count; none: all
+	Register  string   `json:"register"` // eureka: the application that the balancer shows itself as; none: it does not
+	Prefix    string   `json:"prefix"`   // kv: of the keys that are entries
 	StaleMs   float64  `json:"stale_ms"`
 	LostMs    *float64 `json:"lost_ms"` // 0: never lost
 }
@@ -178,6 +179,8 @@
 	switch {
 	case s.Kind != Eureka && len(s.Apps) > 0:
 		return fmt.Errorf("%sapps: a source of kind %s has none", at, s.Kind)
+	case s.Kind != Eureka && s.Register != "":
+		return fmt.Errorf("%sregister: a source of kind %s takes nobody in", at, s.Kind)
 	case s.Kind != KV && s.Prefix != "":
 		return fmt.Errorf("%sprefix: a source of kind %s has none", at, s.Kind)
 	case s.Kind == KV && s.Prefix == "":
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -69,10 +69,14 @@
 	post    func(reducer.Event)
 	log     func(string)
 	started func(ms float64) time.Duration
+	heard   func() // a line without news has come; nil: nobody wants to know
 	cancel  context.CancelFunc
 	client  *http.Client
 }
 
+// Hear has f called at each line without news. It belongs before the first watch.
+func (g *Registry) Hear(f func()) { g.heard = f }
+
 // New makes a registry without a watch.
 func New(post func(reducer.Event), log func(string), started func(ms float64) time.Duration) *Registry {
 	return &Registry{post: post, log: log, started: started, client: &http.Client{
@@ -120,6 +124,9 @@
 	for lines.Scan() {
 		quiet.Reset(silence)
 		if len(lines.Bytes()) == 0 {
+			if g.heard != nil && outer.Err() == nil {
+				g.heard()
+			}
 			continue
 		}
 		list, err := Decode(lines.Bytes(), g.started)
