--- a/internal/registry/kv/kv_test.go
+++ b/internal/registry/kv/kv_test.go
@@ -365,8 +365,11 @@
 		var moved func(ctx context.Context, network, address string) (net.Conn, error)
 		var r *rig
 		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-			if moved != nil {
+			switch {
+			case moved != nil:
 				return moved(ctx, network, address)
+			case r == nil: // the client was quicker than the rig
+				return nil, errors.New("nobody listens yet")
 			}
 			return r.w.dial(ctx, network, address)
 		}
