--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -29,6 +29,8 @@
 	Shrink  shrinkCommand  `cmd:"" help:"Make the run of a replay file smaller while it breaks in the same way."`
 	Planted plantedCommand `cmd:"" help:"Build the balancer with faults planted, and see that the swarm catches each."`
 
+	RosterHistories rosterHistoriesCommand `cmd:"" help:"Play random histories of a registry against the roster, and hold its list against them."`
+
 	Theory theoryCommand `cmd:"" help:"Hold the model of app nodes against queueing theory."`
 	Paper  paperCommand  `cmd:"" help:"Play the experiments of the paper on bursts, beside its figures."`
 	Scale  scaleCommand  `cmd:"" help:"Measure what the size of the fleet costs in the reducer."`
--- a/internal/roster/model_test.go
+++ b/internal/roster/model_test.go
@@ -36,7 +36,7 @@
 
 type plainWord struct {
 	Entry
-	raw, until           time.Duration
+	raw, until, last     time.Duration // last: the start of what has ended
 	rev                  int64
 	held, doubt, missing bool
 }
@@ -188,7 +188,8 @@
 func (m *naive) commit(i int) {
 	s := m.sources[i]
 	s.open, s.rev, s.most = false, s.openRev, max(s.most, s.openRev)
-	short := m.cfg.LossShare > 0 && s.ref >= leastGuarded && float64(len(s.named)) < m.cfg.LossShare*float64(s.ref)
+	short := m.cfg.LossShare > 0 && s.ref > 0 && (len(s.named) == 0 ||
+		s.ref >= leastGuarded && float64(len(s.named)) < m.cfg.LossShare*float64(s.ref))
 	if short && !s.guard {
 		s.guardEnd = m.now + m.cfg.LossFor
 	}
@@ -205,8 +206,12 @@
 }
 
 func (m *naive) remove(w *plainWord, rev int64, missing bool) {
-	w.State, w.held, w.doubt, w.missing = Gone, false, false, missing
-	w.rev, w.until = max(w.rev, rev), m.now+m.cfg.Hold
+	if !missing || !w.held {
+		w.until = m.now + m.cfg.Hold
+	}
+	w.missing = missing && w.State == Up && !w.held
+	w.State, w.held, w.doubt = Gone, false, false
+	w.rev, w.last = max(w.rev, rev), max(w.last, w.raw)
 }
 
 func (m *naive) learn(i int, e Entry, rev int64) {
@@ -216,14 +221,13 @@
 		w = &plainWord{}
 		w.State = Gone
 		if e.State == Gone {
-			listed := false
 			for _, o := range m.sources {
 				if o.words[e.ID] != nil {
-					listed, w.Address = true, o.words[e.ID].Address
+					w.Address = o.words[e.ID].Address
 				}
 			}
-			if listed && len(m.sources) > 1 {
-				s.words[e.ID] = w
+			if len(m.sources) > 1 || rev != 0 {
+				s.words[e.ID], w.last = w, m.now
 				m.remove(w, rev, false)
 			}
 			return
@@ -231,9 +235,7 @@
 		s.words[e.ID] = w
 	}
 	if e.State == Gone {
-		if w.State != Gone {
-			m.remove(w, rev, false)
-		}
+		m.remove(w, rev, false)
 		delete(s.named, e.ID)
 		return
 	}
@@ -241,18 +243,18 @@
 		s.named[e.ID] = true
 	}
 	ended := w.State != Up || w.held
-	held := ended && e.State == Up && rev != 0 && rev < w.rev && m.now < w.until && e.Started <= w.raw
-	started := w.Started
+	held := ended && e.State == Up && rev != 0 && rev < w.rev && m.now < w.until && e.Started <= w.last
+	started, again := w.Started, w.State == Draining && w.raw == e.Started
 	if w.State == Gone && !held || w.raw != e.Started {
 		started = min(e.Started, m.now)
 	}
 	if e.State == Draining {
-		if !ended {
+		if !again {
 			w.until = m.now + m.cfg.Hold
 		}
-		w.rev = max(w.rev, rev)
+		w.rev, w.last = max(w.rev, rev), max(w.last, e.Started)
 	} else if !held {
-		w.rev, w.until = 0, 0
+		w.rev, w.until, w.last = 0, 0, 0
 	}
 	w.Entry, w.raw, w.held, w.doubt, w.missing = e, e.Started, held, false, false
 	w.Started = started
@@ -306,7 +308,9 @@
 			if w.until > m.now {
 				continue
 			}
-			w.held = false
+			if w.held {
+				w.held, w.rev, w.last = false, 0, 0
+			}
 			if w.State == Gone {
 				delete(s.words, id)
 			}
--- a/internal/roster/queue.go
+++ b/internal/roster/queue.go
@@ -70,7 +70,7 @@
 	case m.word.entry.State == Gone:
 		r.forget(m.word)
 	case m.word.held:
-		m.word.held = false
+		m.word.held, m.word.rev, m.word.ended = false, 0, 0
 		r.touch(m.word.node)
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,7 +8,7 @@
 //   - Drains and removals. What any source with a list that still counts for something says of an entry's end holds,
 //     whatever the others say: a drain for as long as that source says so, a removal for Settings.Hold after it was told.
 //     A removed entry that another source still has is draining, not gone. No guard and no age stands against a drain.
-//     What a whole list merely lacks was not told: it goes with that source, and no other need mind.
+//     What a whole list lacks though it was up was not told: it goes with that source, and no other need mind.
 //   - Who decides. Of the primary sources the first that is fresh, else the first that is stale; a fallback where no
 //     primary is either; joined ones add to that. Where nobody else can decide, the last that did goes on, at any age.
 //   - Age. A source that is lost while another decides is one from which only drains are taken: what it alone has drains,
@@ -106,7 +106,7 @@
 const (
 	// sliceMost bounds the entries that one Tick walks through, so that it stays well under a millisecond.
 	sliceMost = 250
-	// leastGuarded: of fewer entries, losing most is an ordinary day.
+	// leastGuarded: of fewer entries, losing most is an ordinary day. Losing all never is.
 	leastGuarded = 3
 )
 
@@ -189,6 +189,7 @@
 	at     int           // in source.words
 	list   uint64        // the latest whole list, or the one since which it was named
 	rev    int64         // at which its end was told
+	ended  time.Duration // Started, as told, of what has ended
 	until  time.Duration // that this holds against lower revisions and, if it was a removal, against other sources
 	missed bool          // gone, as a whole list did not name it: nothing that was told, so no other source need mind
 	held   bool          // it is told to be up, but at a lower revision
--- a/internal/roster/sources.go
+++ b/internal/roster/sources.go
@@ -251,6 +251,7 @@
 	if s == nil {
 		return
 	}
+	s.wants = s.wants || s.open // a part of a list, of whatever revision, is mixed with what there was
 	s.open = false
 	if s.why == "" {
 		r.note("source %s: broke: %s", s.Name, why)
--- a/internal/roster/words.go
+++ b/internal/roster/words.go
@@ -33,6 +33,7 @@
 	if s == nil {
 		return
 	}
+	s.wants = s.wants || s.open
 	r.finish(s) // what an earlier list did not name must not seem named by this one
 	r.begin(s, revision)
 	for _, o := range r.sources {
@@ -85,7 +86,8 @@
 	}
 	s.open, s.wants = false, false
 	s.rev, s.revMost = s.openRev, max(s.revMost, s.openRev)
-	short := r.cfg.LossShare > 0 && s.guardRef >= leastGuarded && float64(s.named) < r.cfg.LossShare*float64(s.guardRef)
+	short := r.cfg.LossShare > 0 && s.guardRef > 0 && (s.named == 0 ||
+		s.guardRef >= leastGuarded && float64(s.named) < r.cfg.LossShare*float64(s.guardRef))
 	switch {
 	case short && !s.guard:
 		s.guard, s.kept, s.guardEnd = true, false, r.now+r.cfg.LossFor
@@ -133,8 +135,7 @@
 			w.doubt = true
 			s.doubt++
 		case missing && !s.guard, s.clear && w.doubt && !r.answersStill(w.node):
-			w.missed = true
-			r.remove(w, s.rev)
+			r.lack(w)
 			continue
 		}
 		r.touch(w.node)
@@ -184,8 +185,8 @@
 	w := s.byID[e.ID]
 	if w == nil {
 		n := r.nodes[e.ID]
-		if e.State == Gone && (n == nil || len(r.sources) == 1) {
-			return
+		if e.State == Gone && (r.cfg.Hold == 0 || len(r.sources) == 1 && rev == 0) {
+			return // its end holds against nobody
 		}
 		if n == nil {
 			n = &node{id: e.ID}
@@ -200,8 +201,8 @@
 			if w.other != nil {
 				w.entry.Address = w.other.entry.Address
 			}
-			r.bury(w, rev)
-			r.touch(n)
+			w.ended = r.now // whatever was there has started by now
+			r.bury(w, rev, r.now+r.cfg.Hold)
 			return
 		}
 	}
@@ -218,9 +219,8 @@
 		s.doubt--
 	}
 	if e.State == Gone {
-		if w.entry.State != Gone {
-			r.remove(w, rev)
-		}
+		w.missed = false
+		r.bury(w, rev, r.now+r.cfg.Hold)
 		return
 	}
 	w.missed = false
@@ -228,8 +228,8 @@
 	if before == Gone {
 		s.live++
 	}
-	ended := before != Up || w.held
-	w.held = ended && e.State == Up && rev != 0 && rev < w.rev && r.now < w.until && e.Started <= w.raw
+	w.held = (before != Up || w.held) && e.State == Up && rev != 0 && rev < w.rev && r.now < w.until && e.Started <= w.ended
+	again := before == Draining && w.raw == e.Started
 	started := w.entry.Started
 	if before == Gone && !w.held || w.raw != e.Started {
 		if started = min(e.Started, r.now); started == 0 && e.Started != 0 {
@@ -244,31 +244,38 @@
 			r.at(w.until, holdEnds, w, nil)
 		}
 	case e.State == Draining:
-		if !ended {
+		if !again {
 			w.until = r.now + r.cfg.Hold
 		}
-		w.rev = max(w.rev, rev)
+		w.rev, w.ended = max(w.rev, rev), max(w.ended, e.Started)
 	default:
-		w.rev, w.until = 0, 0
+		w.rev, w.until, w.ended = 0, 0, 0
 	}
 	r.touch(w.node)
 }
 
-// remove: the source does not have the entry any more.
-func (r *Roster) remove(w *word, rev int64) {
-	w.source.live--
+// lack: the source's whole list does not have the entry any more. One that was draining is gone, as was to be expected.
+func (r *Roster) lack(w *word) {
+	until := r.now + r.cfg.Hold
+	if w.held {
+		until = w.until // of the end that was told
+	}
+	w.missed = w.state() == Up
+	r.bury(w, w.source.rev, until)
+}
+
+// bury keeps a removal for as long as it holds against somebody.
+func (r *Roster) bury(w *word, rev int64, until time.Duration) {
+	if w.entry.State != Gone {
+		w.source.live--
+	}
 	if w.doubt {
 		w.doubt = false
 		w.source.doubt--
 	}
 	r.touch(w.node)
-	r.bury(w, rev)
-}
-
-// bury keeps a removal for as long as it holds against somebody.
-func (r *Roster) bury(w *word, rev int64) {
 	w.entry.State, w.held = Gone, false
-	w.rev, w.until = max(w.rev, rev), r.now+r.cfg.Hold
+	w.rev, w.until, w.ended = max(w.rev, rev), until, max(w.ended, w.raw)
 	if r.cfg.Hold == 0 || len(r.sources) == 1 && rev == 0 {
 		r.forget(w)
 		return
