Tell the module of a whole list as the changes that it is, not as a list without the rest

Cause: since lists are entered as changes, a whole list that changed nothing reached the module as a whole list of nobody, and emptied it until the next change. Change: what the pools hear is always changes. The viewers of the pools' property test refuse any other kind, and a test with the module sends whole lists that change nothing; both fail without the change.

--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -43,6 +43,9 @@
 	if l.Complete {
 		r.revision = l.Revision // whatever came before, the list is this one
 	}
+	if kind == brain.UpdateFull {
+		kind = brain.UpdateChanges // what the pools hear is what has changed; a whole list without the rest would empty them
+	}
 	r.epoch++
 	r.enqueue(&feed{list: l, kind: kind, epoch: r.epoch})
 }
--- a/internal/reducer/pools_test.go
+++ b/internal/reducer/pools_test.go
@@ -27,6 +27,9 @@
 	switch e := ev.(type) {
 	case *brain.FleetUpdate:
 		v.most = max(v.most, len(e.Members))
+		if e.Kind == brain.UpdateFull || e.Kind == brain.UpdateRestored && len(v.view) > 0 {
+			v.t.Fatalf("an update of kind %d, which says that those it does not name are gone", e.Kind)
+		}
 		for _, m := range e.Members {
 			if m.State == brain.Gone {
 				if _, ok := v.view[m.Server]; !ok {
@@ -314,3 +317,22 @@
 	e.hear(ev)
 	return acts
 }
+
+// A whole list that changes nothing, as a discovery that has started again writes it, must leave the module its servers.
+func TestAWholeListThatChangesNothing(t *testing.T) {
+	w := newWorld(t, 8, "a:1", "b:1")
+	for range 3 {
+		w.listed(list(true, brain.Ready, "a:1", "b:1"))
+		id := w.call(0, 600*ms)
+		for _, d := range w.in(dialing) {
+			w.dialed(d, nil)
+		}
+		for _, b := range w.in(busy) {
+			w.exchanged(good(b))
+		}
+		if c := w.calls[id]; c.answers != 1 || c.reply.Kind != Served {
+			t.Fatalf("%+v", c)
+		}
+		w.pass(10 * ms)
+	}
+}
