Look at the whole list after a break, and measure the client of a key-value store

A list read over connections that were cut is read again, three times; and after a break the list is looked at whole unless that was done within 10 s. Two histories in 42,000 had shown a moment that the store never had, for up to 10 s: other keys, but as many, deleted behind our back at the same term.

--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -35,6 +35,8 @@
 	Flow   flow          `cmd:"" help:"Measure answers that flow, on real processes."`
 	Demo   demoCommand   `cmd:"" help:"Show a site on this machine: app nodes, discovery, one real balancer and mild load."`
 
+	Kvd kvdCommand `cmd:"" help:"Stand in for a key-value store, or measure the client of one."`
+
 	Completion completionCommand `cmd:"" help:"Print what makes a shell complete these commands."`
 	Complete   completeCommand   `cmd:"" hidden:"" passthrough:"" help:"Print what may come next on a line."`
 }
--- a/internal/registry/kv/follow.go
+++ b/internal/registry/kv/follow.go
@@ -27,6 +27,9 @@
 	// lookEvery is how often all keys are looked at in any case. It heals what nothing else would show: an event that
 	// the store has swallowed.
 	lookEvery = 5 * time.Minute
+	// tornReadings is how often a list is read again because a connection was cut between its pages. One that is never
+	// read in one go is then believed if it holds as many keys as the store, and the same newest ones.
+	tornReadings = 3
 	// sound is how long a watch must have been open to count as working.
 	sound = 2 * time.Second
 
@@ -183,10 +186,13 @@
 		more = p.more
 	}
 	whole := c.whole
-	if cuts != c.cuts && !(whole && c.glance(c.ask, first, whatOf(each(news))) == nil) {
-		c.pause(&c.verdicts)
-		return
+	if cuts != c.cuts { // the pages may be of two stores
+		if c.torn++; c.torn <= tornReadings || !whole || c.glance(c.ask, first, whatOf(each(news))) != nil {
+			c.pause(&c.verdicts)
+			return
+		}
 	}
+	c.torn = 0
 	c.origin, c.known, c.whole, c.looked, c.resumed = first, true, false, time.Now(), false
 	if whole {
 		c.view.refill(news)
@@ -390,14 +396,15 @@
 }
 
 // same asks, after a break and before an event is believed, whether the store still is the one that we followed: one
-// that has lost its data and was written to since may be past our revision, and of the same term. A list of one page is
-// looked at whole. Of a longer one the number of keys and those written last are, at our revision; what that misses (as
-// many keys deleted, but other ones) is found by the look that follows within looksApart.
+// that has lost its data and was written to since may be past our revision, and of the same term. The list is looked at
+// whole, but where it is longer than a page and was looked at just now: then the number of keys and those written last
+// are, at our revision. What that misses (as many keys deleted, but other ones) is found by the look that follows within
+// looksApart.
 func (c *Client) same(s *stream) bool {
 	s.quiet.Stop() // it waits until we read again
 	defer s.quiet.Reset(silence)
 	var err error
-	if len(c.view.keys) <= c.page {
+	if len(c.view.keys) <= c.page || time.Since(c.looked) >= looksApart {
 		err = c.look(c.ask)
 	} else {
 		err = c.glance(c.ask, c.origin, whatOf(maps.All(c.view.keys)))
--- a/internal/registry/kv/kv.go
+++ b/internal/registry/kv/kv.go
@@ -99,6 +99,7 @@
 	looked  time.Time // at all keys
 	resumed bool      // there has been a failure, and the keys have not been looked at since
 	cuts    int       // connections that ended under us
+	torn    int       // readings in a row of which that is so
 	partial bool      // the view holds a part of the revision behind its own
 }
 
