Let the system end connections to a store whose machine is gone

A store that works through calls in turn finds ours in its place: the oldest attempt waits for ten minutes while its connection lives, which TCP_USER_TIMEOUT and keep-alives of 4 s tell; after a minute without an answer the others come more rarely.

--- a/internal/registry/kv/attempts.go
+++ b/internal/registry/kv/attempts.go
@@ -13,9 +13,16 @@
 	dialWait = time.Second
 	// eagerWait is how long an answer may take before another attempt stands beside it; see ask.
 	eagerWait = 1200 * time.Millisecond
-	// patientWait is how long the oldest attempt may take. A store that works through calls in turn, or answers after
-	// 30 s, must be heard as well.
-	patientWait = 40 * time.Second
+	// patientWait is how long the oldest attempt may take while its connection lives (see lifeTime). A store that works
+	// through the calls of a thousand balancers in turn must find ours in its place.
+	patientWait = 10 * time.Minute
+	// eagerFor is how long a question is put again at that pace. After it the pace doubles each time, up to slowest: a
+	// store that has not answered for so long is drowning in questions, or its recovery can wait.
+	eagerFor = time.Minute
+	slowest  = 20 * time.Second
+	// lifeTime is how long the other side's kernel may be silent. Where the machine is gone, the system ends the
+	// connection, and with it the patient attempt.
+	lifeTime = 4 * time.Second
 	// firstPause and mostPause bound the pause after a failure, which doubles. Blind time after a recovery is at most the
 	// longest pause and one answer's time.
 	firstPause = 100 * time.Millisecond
@@ -121,7 +128,7 @@
 			a.cancel()
 		}
 	}()
-	next := time.NewTimer(max(0, time.Until(c.due)))
+	next, first, wait := time.NewTimer(max(0, time.Until(c.due))), time.Now(), eagerWait
 	defer next.Stop()
 	begin := func() {
 		ctx, cancel := context.WithCancel(c.ctx)
@@ -146,13 +153,16 @@
 		case <-next.C:
 			now := time.Now()
 			for i, a := range out {
-				if age := now.Sub(a.began); age > patientWait || i > 0 && age > eagerWait {
+				if age := now.Sub(a.began); age > patientWait || i > 0 && age > wait {
 					a.late = true
 					a.cancel()
 				}
 			}
 			begin()
-			next.Reset(c.jitter(eagerWait) / time.Duration(len(c.endpoints)))
+			if now.Sub(first) > eagerFor {
+				wait = min(2*wait, slowest)
+			}
+			next.Reset(c.jitter(wait) / time.Duration(len(c.endpoints)))
 		case r := <-results:
 			for i, a := range out {
 				if a == r.of {
--- a/internal/registry/kv/kv.go
+++ b/internal/registry/kv/kv.go
@@ -31,8 +31,11 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pewterrudder/internal/roster"
 )
 
@@ -138,7 +141,8 @@
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	dial := s.Dial
 	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
+		dial = (&net.Dialer{Control: mortal, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: lifeTime / 4,
+			Interval: lifeTime / 4, Count: 4}}).DialContext
 	}
 	c.http = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
@@ -200,6 +204,14 @@
 	}
 }
 
+// mortal makes the system end a connection whose other side has not acknowledged what we sent.
+func mortal(_, _ string, raw syscall.RawConn) error {
+	var err error
+	return errors.Join(raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(lifeTime/time.Millisecond))
+	}), err)
+}
+
 func (c *Client) gone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
