--- a/cmd/rudderlab/eurekad.go
+++ b/cmd/rudderlab/eurekad.go
@@ -202,15 +202,19 @@
 type eurekadSize struct {
 	Instances int           `default:"10000" help:"In the registry."`
 	Changes   time.Duration `default:"20s" help:"How long changes are measured."`
+	Keep      time.Duration `default:"5s" help:"How far deltas reach back; the published server's 3m has all instances in them."`
 	JSON      bool          `name:"json" help:"Write one JSON object."`
 }
 
 func (e *eurekadSize) Run() error {
+	if e.Instances < 100 || e.Changes < time.Second || e.Keep < 2*time.Second {
+		return misuseError{errors.New("at least --instances 100, --changes 1s and --keep 2s")}
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	c, err := size.Measure(self, e.Instances, e.Changes)
+	c, err := size.Measure(self, e.Instances, e.Changes, e.Keep)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/eurekad/size/size.go
+++ b/internal/lab/eurekad/size/size.go
@@ -30,6 +30,7 @@
 	Rows      []Row `json:"rows"`
 
 	Changes int     `json:"changes"`
+	KeepS   float64 `json:"deltas_reach_back_s"`
 	PollS   float64 `json:"poll_s"`
 	P50Ms   float64 `json:"p50_ms"` // from the arrival of the poll that tells a change to the callback
 	P99Ms   float64 `json:"p99_ms"`
@@ -96,9 +97,9 @@
 	}
 }
 
-// Measure measures n instances; program is rudderlab's own, which serves the registry from a process beside this one.
-func Measure(program string, n int, changes time.Duration) (Cost, error) {
-	c := Cost{Instances: n}
+// Measure measures n instances, and changes for a while, in a registry whose deltas reach back as said; program is rudderlab's own, which serves the registry from a process beside this one.
+func Measure(program string, n int, changes, keep time.Duration) (Cost, error) {
+	c := Cost{Instances: n, KeepS: keep.Seconds()}
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as the daemon has it
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -128,7 +129,7 @@
 	}
 	cancel()
 	cmd.Wait()
-	return c, c.follow(n, changes)
+	return c, c.follow(n, changes, keep)
 }
 
 func one(url, format string) (Row, error) {
@@ -184,11 +185,11 @@
 	return row, nil
 }
 
-// keep is how far the registry's deltas reach back: with a hundred changes a second they hold five hundred.
-const keep = 5 * time.Second
+// shortKeep is how far deltas may reach back for the registering to be waited out of them; else all instances are in them.
+const shortKeep = 10 * time.Second
 
 // follow measures changes, one hundredth of the instances each second, beside a registry in this process.
-func (c *Cost) follow(n int, length time.Duration) error {
+func (c *Cost) follow(n int, length, keep time.Duration) error {
 	runtime.GOMAXPROCS(2) // one for the client, one for the registry
 	var asked atomic.Int64
 	r := eurekad.New(eurekad.Options{Keep: keep, Asked: func() { asked.Store(time.Now().UnixNano()) }})
@@ -201,7 +202,7 @@
 	set := settings(server.URL())
 	set.Keys.Labels = []string{eurekad.ChangedAt}
 	set.Pacing.Every = time.Second
-	set.Window = 4 * time.Second
+	set.Window = keep - time.Second
 	set.WholeEvery = time.Hour
 	c.PollS = set.Pacing.Every.Seconds()
 	var extra, total []time.Duration
@@ -228,7 +229,9 @@
 	if err := wait(s); err != nil {
 		return err
 	}
-	time.Sleep(keep) // until the registering is out of the deltas: they would hold everything
+	if keep <= shortKeep {
+		time.Sleep(keep)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	eurekad.Churn(ctx, r, n, float64(n)/100, 1)
@@ -273,7 +276,7 @@
 		fmt.Fprintf(w, "%-6s %9.0f ms %7.0f ms %7.1f MB %7.1f MB %9.1f MB %9.0f ms\n", r.Format, r.FirstMs, r.CPUMs,
 			r.HeapMB, r.PeakMB, r.RefreshMB, r.RereadMs)
 	}
-	fmt.Fprintf(w, "%d changes, 1 %% of the instances a second, polled each %g s: from the poll's arrival to the callback "+
-		"%.1f ms (median), %.1f ms (99 %%), %.1f ms (longest); from the change itself %.0f ms (99 %%)\n", c.Changes, c.PollS,
+	fmt.Fprintf(w, "%d changes, 1 %% of the instances a second, polled each %g s, deltas reach %g s back: from the poll's arrival to the callback "+
+		"%.1f ms (median), %.1f ms (99 %%), %.1f ms (longest); from the change itself %.0f ms (99 %%)\n", c.Changes, c.PollS, c.KeepS,
 		c.P50Ms, c.P99Ms, c.MaxMs, c.TotalMs)
 }
