--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -22,6 +22,7 @@
 	"pewterrudder/internal/flow"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/registry"
+	"pewterrudder/internal/registry/eureka"
 )
 
 const (
@@ -76,7 +77,11 @@
 		}
 	}
 	clientBudget, keptBudget, delegationBudget := cfg.Limits.Budget()
-	state, err := reducer.New(cfg.Brain, cfg.Prng, delegationBudget)
+	divided, err := layout(cfg)
+	if err != nil {
+		return fmt.Errorf("settings file: %w", err)
+	}
+	state, err := reducer.NewLaid(cfg.Brain, cfg.Prng, delegationBudget, divided)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -96,11 +101,23 @@
 	nodes := delegation.New(post, cfg.Settings.Stats.Columns, delegation.Bounds{Largest: flows.MaxAnswerBytes,
 		Room: flow.NewRoom(flows.Room(cfg.Limits)), Wait: flows.Wait()})
 	list := registry.New(post, func(text string) { log.Print(text) }, started)
+	discovery, err := believe(cfg, state)
+	if err != nil {
+		return err
+	}
+	if discovery >= 0 {
+		list.Hear(func() { post(reducer.Heard{Source: discovery}) })
+	}
 
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	others, err := follow(cfg, post, now, started)
+	if err != nil {
+		return err
+	}
+	defer others.stop()
 	go func() {
 		var effects []reducer.Effect
 		for ev := range events {
@@ -117,10 +134,13 @@
 					nodes.Close(e)
 				case reducer.Watch:
 					list.Watch(e)
+				case reducer.Refetch:
+					others.again(e.Source)
 				case reducer.Arm:
 					time.AfterFunc(e.After, func() { post(e.Event) })
 				case reducer.Ready:
 					front.Ready()
+					others.show(eureka.Serving)
 				case reducer.Log:
 					log.Print(e.Text)
 				}
@@ -151,9 +171,23 @@
 				log.Printf("reload: %s has changed, which takes a restart", key)
 			}
 			log.Printf("reload: discovery is %s", next.Discovery)
-			post(reducer.Reloaded{Discovery: next.Discovery})
+			moved := reducer.Reloaded{Discovery: next.Discovery}
+			if !samePools(cfg, next) {
+				divided, err := layout(next)
+				if err != nil {
+					log.Printf("reload: settings file: %v; the old pools stay", err)
+				} else {
+					moved.Layout = &divided
+					cfg.Service.Routes, cfg.Service.Pools, cfg.Service.Zones = next.Service.Routes, next.Service.Pools, next.Service.Zones
+				}
+			}
+			post(moved)
+			if moved.Layout != nil { // from here on calls go by the new ones
+				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(moved.Layout.Pools))
+			}
 		case <-term:
 			log.Print("draining")
+			others.show(eureka.OutOfService)
 			term = nil   // once is enough
 			served = nil // the listener ends by itself now
 			go func() { front.Drain(slices.Max(deadlines)); close(drained) }()
