--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,9 +14,11 @@
 //     lies on the layer that it found. An end, by time or by undo, goes back to what lies below, past whatever has run
 //     out meanwhile. So a trial on top of a timed drain goes back to the drain, if that has time left, and to its end.
 //   - Time. See Now: deadlines are in box time, which no jump of the wall clock moves while the machine is up.
-//   - Undo of a record needs all its keys to be as it left them. An undo can be undone.
+//   - Undo of an edit needs its word to be in force at all its keys; that of another record, that it was the last to
+//     write them. An undo can be undone.
 //
-// Work per edit is that of its keys, and log n of the edits that will end by themselves; nothing walks the history.
+// Work per edit is that of its keys, and log n of the edits that will end by themselves. Nothing walks the history; only
+// an end or an undo walks past what has run out below it on the same key since Trim.
 package control
 
 import (
@@ -29,6 +31,7 @@
 // State is all of it. Make it with New or FromSnapshot.
 type State struct {
 	revision uint64
+	floor    uint64 // the history begins after it
 	keys     map[Key]slot
 	layers   map[uint64]*layer // by the edit's revision
 	ids      map[string]uint64 // of edits and undos
@@ -36,6 +39,7 @@
 	timers   timers
 
 	last Stamp // of the latest record
+	base Stamp // of the record at the floor
 
 	sights map[string]Sight
 	ready  map[string]int // per pool: nodes that are ready and that no operator drains
@@ -142,6 +146,26 @@
 	}
 }
 
+// reads takes a record's edit.
+func (l *layer) reads(r *Record) error {
+	if r.Edit == nil || r.Edit.ID != r.ID || r.Edit.By != r.By {
+		return fmt.Errorf("it has no edit of its id and author")
+	}
+	if err := r.Edit.check(); err != nil {
+		return err
+	}
+	l.Record, l.parts = r, parts(r.Edit.What)
+	if len(l.parts) != len(r.Sets) {
+		return fmt.Errorf("%d keys, where its edit has %d", len(r.Sets), len(l.parts))
+	}
+	for i, set := range r.Sets {
+		if set.Now != r.Revision || set.Was >= r.Revision || l.parts[i].key != set.Key {
+			return fmt.Errorf("%q: not what its edit says", set.Key)
+		}
+	}
+	return nil
+}
+
 // fits says whether a record can be the next, and gives the layer that it makes, if any.
 func (s *State) fits(r *Record) (*layer, error) {
 	if r.Revision != s.revision+1 {
@@ -156,18 +180,12 @@
 	var l *layer
 	switch r.Kind {
 	case Edited:
-		if r.Edit == nil || r.Edit.ID != r.ID || r.Edit.By != r.By {
-			return nil, fmt.Errorf("it has no edit of its id and author")
-		}
-		if err := r.Edit.check(); err != nil {
+		l = &layer{}
+		if err := l.reads(r); err != nil {
 			return nil, err
 		}
-		l = &layer{Record: r, parts: parts(r.Edit.What)}
-		if len(l.parts) != len(r.Sets) {
-			return nil, fmt.Errorf("%d keys, where its edit has %d", len(r.Sets), len(l.parts))
-		}
 	case Undone:
-		if had, ok := s.Record(r.Of); !ok || len(had.Sets) != len(r.Sets) {
+		if had, ok := s.Record(r.Of); r.Of > s.floor && (!ok || len(had.Sets) != len(r.Sets)) {
 			return nil, fmt.Errorf("it undoes %d, which has not these keys", r.Of)
 		}
 	case Confirmed, Ended:
@@ -189,10 +207,7 @@
 			return nil, fmt.Errorf("%q: %d is in force, where %d was", set.Key, had, set.Was)
 		}
 		switch now := s.layers[set.Now]; {
-		case l != nil:
-			if set.Now != r.Revision || l.parts[i].key != set.Key {
-				return nil, fmt.Errorf("%q: not what its edit says", set.Key)
-			}
+		case l != nil: // reads has looked
 		case now != nil:
 			if _, ok := now.find(set.Key); !ok {
 				return nil, fmt.Errorf("%q: %d says nothing of it", set.Key, set.Now)
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Conflict refuses what touches a thing that has been touched since. Theirs is the latest that did; Now is what is in
+// Conflict refuses what touches a thing that has been touched since. Theirs is the latest that did, or
+// the edit in force where the history goes back less far; Now is what is in
 // force by it, nil: nothing of operators.
 type Conflict struct {
 	Key    Key    `json:"key"`
@@ -26,6 +27,7 @@
 	Invalid Why = "invalid" // the edit cannot be kept or shown
 	Last    Why = "last"    // Pool would lose its last ready node; Force does it
 	Unknown Why = "unknown" // no such revision or id, or one of another box
+	Old     Why = "old"     // made against a revision that the history has forgotten
 	Late    Why = "late"    // the trial has run out, or is over
 	IDUsed  Why = "id-used" // the id belongs to something else
 )
@@ -49,19 +51,27 @@
 	if err := e.check(); err != nil {
 		return Record{}, refuse(Invalid, "%v", err)
 	}
+	own := parts(e.What)
 	if had, ok := s.made(e.ID); ok {
 		if had.Kind != Edited || had.By != e.By || !reflect.DeepEqual(had.Edit.What, e.What) {
 			return Record{}, refuse(IDUsed, "id %q is that of another change: %s", e.ID, &had)
 		}
 		return had, nil
 	}
+	if e.Against > 0 && e.Against < s.floor {
+		for _, p := range own {
+			if _, ok := s.keys[p.key]; !ok {
+				return Record{}, refuse(Old, "made against revision %d, where what the box remembers begins after %d: "+
+					"%s may have been changed since. Look again", e.Against, s.floor, p.key)
+			}
+		}
+	}
 	if e.Against > s.revision {
 		return Record{}, refuse(Unknown, "made against revision %d, where the box is at %d: it was another box, or its "+
 			"state has been put aside. Look again", e.Against, s.revision)
 	}
 	r := s.next(now, Edited, e.ID, e.By, 0)
 	r.Edit = &e
-	own := parts(e.What)
 	for _, p := range own {
 		at := s.keys[p.key]
 		if e.Against > 0 && at.revision > e.Against {
@@ -131,7 +141,7 @@
 	r := s.next(now, Undone, b.ID, b.By, b.Revision)
 	for _, set := range of.Sets {
 		at := s.keys[set.Key]
-		if at.revision != b.Revision {
+		if of.Kind == Edited && at.layer != b.Revision || of.Kind != Edited && at.revision != b.Revision {
 			return Record{}, s.conflict(set.Key)
 		}
 		r.Sets = append(r.Sets, Set{set.Key, at.layer, s.alive(set.Key, set.Was, r.Box)})
