Let what operators want of app nodes and pools hold beside what the list says

Need: there was no way to take an app node out of service, and what a list says next would have put it back. Change: drains, weights and caps of operators are kept apart from the list's word and laid over it; they are in force in the event that brings them, and hold for app nodes that the list names later or again. Not reachable from outside yet.

--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -134,6 +134,8 @@
 					nodes.Close(e)
 				case reducer.Watch:
 					list.Watch(e)
+				case reducer.Tell:
+					e.Do()
 				case reducer.Refetch:
 					others.again(e.Source)
 				case reducer.Arm:
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -25,7 +25,7 @@
 	} else if c.deadline <= r.now {
 		r.answer(c, r.unserved(c))
 		return
-	} else if c.pool.MaxOpen > 0 && c.pool.open > c.pool.MaxOpen {
+	} else if most := r.cap(c.pool); most > 0 && c.pool.open > most {
 		r.answer(c, r.refusal())
 		return
 	}
--- a/internal/reducer/connections.go
+++ b/internal/reducer/connections.go
@@ -15,6 +15,9 @@
 	d := k.delg
 	if !k.doomed { // one that has moved was tried where it is no more
 		r.heardAt(k.srv, e.Err == nil)
+		if e.Err != nil {
+			k.srv.failed = r.now
+		}
 	}
 	switch {
 	case e.Err != nil:
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -144,6 +144,11 @@
 	} else {
 		r.close(k)
 	}
+	if e.Result == Good {
+		k.srv.answered = r.now
+	} else if e.Result == Broke || e.Result == Stalled || e.Result == Errored {
+		k.srv.failed = r.now
+	}
 	if e.Result == Stalled {
 		r.stalls[c.Class].RanOut()
 	} else if e.Pause > 0 && e.Result != Broke {
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -134,7 +134,7 @@
 	if s == nil {
 		s = &server{id: m.Server, conns: map[uint64]*conn{}, at: len(r.ordered)}
 		r.servers[m.Server], r.ordered = s, append(r.ordered, s)
-		s.member.State = brain.Gone // until noted below
+		s.member.State, s.told.State = brain.Gone, brain.Gone // until noted below
 	}
 	s.seen = epoch
 	moved := address != "" && address != s.address
@@ -147,8 +147,9 @@
 		moved = true
 	}
 	was := s.member
-	s.member = *m
-	s.member.Bit = r.zoneBit(m.Zone)
+	s.told = *m
+	s.told.Bit = r.zoneBit(m.Zone)
+	s.member = r.effective(s.told)
 	if was != s.member {
 		r.note(s, was)
 	}
@@ -222,6 +223,12 @@
 		if p.region != nil && s.pools&(1<<i) != 0 {
 			r.count(p.region, s, &s.member, 1)
 		}
+		if before&(1<<i) != 0 && was.State == brain.Ready {
+			p.ready--
+		}
+		if s.pools&(1<<i) != 0 && s.member.State == brain.Ready {
+			p.ready++
+		}
 		m := s.member
 		if s.pools&(1<<i) == 0 {
 			m.State = brain.Gone
--- a/internal/reducer/pools.go
+++ b/internal/reducer/pools.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/bits"
 	"reflect"
 
 	"pewterrudder/brain"
@@ -39,6 +38,7 @@
 	node    brain.Decider
 	region  *region        // nil: without zones
 	open    int            // calls
+	ready   int            // members
 	retired bool           // by a layout without it: no call comes any more
 	changes []brain.Member // to tell, of the slice under way
 }
@@ -181,11 +181,7 @@
 // Pools names the pools in force with their app nodes that are ready and their open calls, for whoever watches.
 func (r *Reducer) Pools() (names []string, members, open []int) {
 	for _, p := range r.targets {
-		n := 0
-		for _, s := range r.ordered {
-			n += bits.OnesCount64(s.pools & (1 << p.index))
-		}
-		names, members, open = append(names, p.Name), append(members, n), append(open, p.open)
+		names, members, open = append(names, p.Name), append(members, p.ready), append(open, p.open)
 	}
 	return names, members, open
 }
--- a/internal/reducer/pools_test.go
+++ b/internal/reducer/pools_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/control"
 
 	"pgregory.net/rapid"
 )
@@ -110,7 +111,7 @@
 		}
 		in := layouts[0]
 		w, views := yard(t, in)
-		truth := map[string]brain.Member{}
+		truth, wishes := map[string]brain.Member{}, map[string]control.Change{}
 		t.Repeat(map[string]func(*rapid.T){
 			"list": func(t *rapid.T) {
 				complete := rapid.IntRange(0, 2).Draw(t, "complete") == 0
@@ -133,6 +134,12 @@
 				in = rapid.SampledFrom(layouts).Draw(t, "layout")
 				w.do(Reloaded{Discovery: "d:2", Layout: &in})
 			},
+			"operator": func(t *rapid.T) {
+				c := control.Change{Node: fmt.Sprint("s", rapid.IntRange(0, 400).Draw(t, "server")), Drained: rapid.Bool().Draw(t, "drained"),
+					Weight: rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "weight")}
+				wishes[c.Node] = c
+				w.do(Operator{Changes: []control.Change{c}})
+			},
 			"call": func(t *rapid.T) {
 				id := w.call(0, 600*ms)
 				if c := w.r.calls[id]; c != nil && len(c.delegations) == 1 && c.delegations[0].srv != nil && c.delegations[0].srv.pools&(1<<c.pool.index) == 0 {
@@ -155,6 +162,12 @@
 			want := map[string]brain.Member{}
 			for name, m := range truth {
 				m.Bit = w.r.zoneBit(m.Zone)
+				if c := wishes[name]; c.Drained && m.State == brain.Ready {
+					m.State = brain.Draining
+				}
+				if c := wishes[name]; c.Weight > 0 {
+					m.Weight = c.Weight
+				}
 				if p.Takes == nil || p.Takes(&m) {
 					want[name] = m
 				}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/control"
 	"pewterrudder/internal/patience"
 	"pewterrudder/internal/roster"
 )
@@ -147,6 +148,16 @@
 		Source int
 		Err    error
 	}
+	// Operator: what operators want has changed. It is in force once Handle returns, which Done is told.
+	Operator struct {
+		Changes []control.Change
+		Done    func()
+	}
+	// Look asks for what is seen, app nodes from an id on.
+	Look struct {
+		From string
+		To   func(View)
+	}
 	// WatchEnded: the watch broke or could not be opened.
 	WatchEnded struct {
 		Watch uint64
@@ -231,6 +242,8 @@
 	}
 	// Refetch: a registry's changes do not follow on what was held of it, so that its whole list is needed.
 	Refetch struct{ Source int }
+	// Tell has somebody who waits for it hear something, outside this goroutine's state.
+	Tell struct{ Do func() }
 	// Arm returns the event after a while.
 	Arm struct {
 		After time.Duration
@@ -265,12 +278,15 @@
 
 type server struct {
 	id, address string
-	member      brain.Member // as last told of
-	pools       uint64       // that it belongs to
-	seen        uint64       // the latest list that named it
-	at          int          // in Reducer.ordered
-	gone        bool         // off the list and out of the state: only what is still out refers to it
-	idle        []*conn      // latest used last
+	told        brain.Member // by the list
+	member      brain.Member // as it counts
+	answered    time.Duration
+	failed      time.Duration
+	pools       uint64  // that it belongs to
+	seen        uint64  // the latest list that named it
+	at          int     // in Reducer.ordered
+	gone        bool    // off the list and out of the state: only what is still out refers to it
+	idle        []*conn // latest used last
 	conns       map[uint64]*conn
 }
 
@@ -334,11 +350,14 @@
 	discoverySource int
 	wants           []bool        // by source: it has been asked for its whole list
 	rosterAt        time.Duration // when the roster's next moment is armed for; 0: none is
-	epoch           uint64
-	feeds           []*feed // the first is being worked through
-	touched         []*server
-	oldest          *conn // of the idle ones, which lead on to newer
-	newest          *conn
+
+	wishes  map[string]wish // by app node
+	caps    map[string]int  // by pool
+	epoch   uint64
+	feeds   []*feed // the first is being worked through
+	touched []*server
+	oldest  *conn // of the idle ones, which lead on to newer
+	newest  *conn
 
 	discovery         string
 	revision          int64
@@ -391,7 +410,8 @@
 func NewPools(cfg brain.Settings, budget int, l Layout, decide func(string) brain.Decider) (*Reducer, error) {
 	r := &Reducer{cfg: cfg, decide: decide, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
-		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{}}
+		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{},
+		wishes: map[string]wish{}, caps: map[string]int{}}
 	if err := r.lay(l); err != nil {
 		return nil, err
 	}
@@ -511,6 +531,14 @@
 		}
 	case zoneClock:
 		r.onZoneTick()
+	case Operator:
+		r.onOperator(e.Changes)
+		if e.Done != nil {
+			r.emit(Tell{e.Done})
+		}
+	case Look:
+		v := r.look(e.From)
+		r.emit(Tell{func() { e.To(v) }})
 	case Said:
 		if r.roster != nil {
 			r.said(e.Source, e.Whole, e.Revision, e.Entries, brain.UpdateChanges)
@@ -605,6 +633,8 @@
 func (rewatch) event()     {}
 func (more) event()        {}
 func (zoneClock) event()   {}
+func (Operator) event()    {}
+func (Look) event()        {}
 func (Said) event()        {}
 func (Heard) event()       {}
 func (SourceBroke) event() {}
@@ -615,6 +645,7 @@
 func (Exchange) effect() {}
 func (Close) effect()    {}
 func (Watch) effect()    {}
+func (Tell) effect()     {}
 func (Refetch) effect()  {}
 func (Arm) effect()      {}
 func (Ready) effect()    {}
