--- a/internal/roster/sources.go
+++ b/internal/roster/sources.go
@@ -56,6 +56,7 @@
 	wants   bool
 
 	left  int  // words still to be looked at, from the end
+	stood bool // since its standing changed
 	sweep bool // what the latest list does not name goes
 	clear bool // and what is in doubt as well
 
@@ -140,7 +141,7 @@
 			if len(r.sources) > 1 {
 				r.note("source %s: %s, was: %s", s.Name, next[i], s.standing)
 			}
-			s.standing, s.left = next[i], len(s.words)
+			s.standing, s.left, s.stood = next[i], len(s.words), true
 		}
 	}
 }
--- a/internal/roster/words.go
+++ b/internal/roster/words.go
@@ -122,7 +122,7 @@
 
 // walkSource looks at some words whose worth may have changed, and gives what is left of n.
 func (r *Roster) walkSource(s *source, n int) int {
-	if s.left == 0 && !s.sweep && !s.clear {
+	if s.left == 0 && !s.sweep && !s.clear && !s.stood {
 		return n
 	}
 	s.left = min(s.left, len(s.words))
@@ -138,7 +138,9 @@
 			r.lack(w)
 			continue
 		}
-		r.touch(w.node)
+		if s.stood {
+			r.touch(w.node)
+		}
 	}
 	if s.left == 0 {
 		if s.clear && s.doubt == 0 {
@@ -148,7 +150,7 @@
 			s.kept = true
 			r.note("source %s: what it lacks and connects succeed to is kept on: %d", s.Name, s.doubt)
 		}
-		s.sweep, s.clear = false, false
+		s.sweep, s.clear, s.stood = false, false, false
 	}
 	return n
 }
