--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -17,8 +17,11 @@
 // Service is what an installation sets for itself, beside what its platform tells it: a file of JSON with comments,
 // every key of which may be left out. deploy/settings.json shows them all with their defaults.
 type Service struct {
-	Flow   Flow   `json:"flow"`
-	Roster Roster `json:"roster"`
+	Flow   Flow    `json:"flow"`
+	Routes []Route `json:"routes"` // none: every call goes to the default pool
+	Pools  []Pool  `json:"pools"`  // none: one, with every app node
+	Zones  Zones   `json:"zones"`  // of every pool
+	Roster Roster  `json:"roster"`
 }
 
 // Flow bounds the bodies that pass through without being held whole.
@@ -59,7 +62,7 @@
 }
 
 func (s *Service) read(raw []byte) error {
-	plain, err := hujson.Standardize(raw)
+	plain, err := hujson.Standardize(bytes.Clone(raw)) // it writes over comments in place
 	if err != nil {
 		return err // with line and column
 	}
@@ -69,7 +72,8 @@
 	if err := in.Decode(s); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return fmt.Errorf("%s: %s is no %s", wrong.Field, wrong.Value, wrong.Type)
+			line := 1 + bytes.Count(plain[:wrong.Offset], []byte("\n")) // in a list the key alone does not tell the place
+			return fmt.Errorf("line %d: %s: %s is no %s", line, wrong.Field, wrong.Value, wrong.Type)
 		}
 		return err
 	}
@@ -101,7 +105,10 @@
 			return fmt.Errorf("flow.%s: %v lies outside %v to %v: %s", k.key, k.v, k.lo, k.hi, k.because)
 		}
 	}
-	return nil
+	if err := s.Zones.check(); err != nil {
+		return err
+	}
+	return s.checkRoutes()
 }
 
 // Room is the memory lent to what flows, in bytes.
