Give the lab a discovery that has lost its entries, and one that cuts its first lines

Need: an empty list of a broken registry, and first lines cut short, could not be played. Change: two kinds of faults, which the swarm draws as well. What an empty list lacks is no word on anybody, and what discovery learns meanwhile is known only once its list is back.

--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -342,6 +342,8 @@
 	{"discovery_silent", "discovery takes calls and says nothing", "", 0, 0, "discovery", true, false},
 	{"discovery_lies", "discovery lists sound app nodes as gone", "", 0, 0, "nodes", true, false},
 	{"discovery_restarts", "discovery starts again with other revisions", "", 0, 0, "discovery", true, false},
+	{"discovery_cuts", "discovery takes calls and ends each inside its first line", "", 0, 0, "discovery", true, false},
+	{"discovery_empty", "discovery has lost its entries: its whole list is empty, under other revisions", "", 0, 0, "discovery", true, false},
 	{"balancer_crash", "balancers are killed and start again after a while", "", 0, 0, "balancers", true, false},
 	{"balancer_restart", "balancers are ended with a notice and start again", "", 0, 0, "balancers", true, false},
 	{"reload", "balancers read their configuration again, with another address of discovery", "", 0, 0, "balancers", false, false},
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -46,6 +46,8 @@
 type Discovery struct {
 	Down    bool
 	Silent  bool
+	cuts    bool // while down: it takes calls, and ends each inside its first line
+	empty   bool // its list has nobody on it
 	late    time.Duration
 	w       *World
 	rng     *rand.Rand
@@ -107,7 +109,7 @@
 }
 
 func (d *Discovery) publish(n *Node, s State) {
-	if d.Down {
+	if d.Down || d.empty {
 		d.unsaid = append(d.unsaid, func() { d.publish(n, s) })
 		return
 	}
@@ -168,6 +170,9 @@
 
 // List is the whole list, those that are gone left out.
 func (d *Discovery) List() List {
+	if d.empty {
+		return List{Revision: d.rev, Complete: true}
+	}
 	l := List{Revision: d.rev, Complete: true, Entries: make([]Entry, 0, len(d.entries))}
 	for i := range d.entries {
 		if e := d.shown(&d.entries[i]); e.State != Gone {
@@ -179,7 +184,7 @@
 
 // from gives what is new since a revision.
 func (d *Discovery) from(since int64) List {
-	if since < d.oldest || since > d.rev || d.rev-since > int64(d.w.Sc.Discovery.History) || since == 0 {
+	if d.empty || since < d.oldest || since > d.rev || d.rev-since > int64(d.w.Sc.Discovery.History) || since == 0 {
 		return d.List()
 	}
 	l := List{Revision: d.rev}
@@ -241,7 +246,7 @@
 	if d.Silent {
 		return
 	}
-	if d.Down {
+	if d.Down && !d.cuts {
 		s.end()
 		return
 	}
@@ -256,6 +261,9 @@
 		switch {
 		case s.over || d.Silent:
 		case d.Down:
+			if d.cuts {
+				s.down(s.to.Opened)
+			}
 			s.end()
 		default:
 			s.open = true
@@ -279,7 +287,7 @@
 	s.since, s.last = d.rev, w.Clock.Now()
 	w.Journal.Note(w.Clock.Now(), ListWritten, uint64(s.seat.Index), uint64(l.Revision), uint64(len(l.Entries)))
 	var gone []*Node
-	if l.Complete {
+	if l.Complete && !d.empty { // an empty list of a broken registry is no word on any entry
 		gone = d.gone()
 	}
 	// It is told once it is there: what a cut held back may come after the balancer has given the watch up.
@@ -372,18 +380,48 @@
 
 // ---- what goes wrong ----
 
+// mute: it can tell nobody what it knows.
+func (d *Discovery) mute() bool { return d.Down || d.Silent || d.empty }
+
+func (d *Discovery) endAll() {
+	for len(d.watches) > 0 {
+		d.watches[len(d.watches)-1].end()
+	}
+}
+
+// say publishes what was learned while that could not be told.
+func (d *Discovery) say() {
+	unsaid := d.unsaid
+	d.unsaid = nil
+	for _, fn := range unsaid {
+		fn()
+	}
+}
+
 func (d *Discovery) setDown(on bool) {
 	d.Down = on
 	if on {
-		for len(d.watches) > 0 {
-			d.watches[len(d.watches)-1].end()
-		}
+		d.endAll()
 	} else {
-		unsaid := d.unsaid
-		d.unsaid = nil
-		for _, fn := range unsaid {
-			fn()
-		}
+		d.say()
+	}
+	d.w.reachAll()
+}
+
+// setCuts: it is down in another way. Calls are taken in turn, and end behind the head.
+func (d *Discovery) setCuts(on bool) {
+	d.cuts = on
+	d.setDown(on)
+}
+
+// setEmpty: it has lost its entries, and answers with a list of nobody under other revisions; false: they are back. Both
+// end the watches, since nobody who follows one would get the whole list.
+func (d *Discovery) setEmpty(on bool) {
+	d.empty = on
+	d.restart()
+	d.endAll()
+	if !on {
+		d.say()
 	}
 	d.w.reachAll()
 }
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -376,6 +376,12 @@
 	case "discovery_restarts":
 		d.setDown(true)
 		e.later(func() { d.restart(); d.setDown(false) })
+	case "discovery_cuts":
+		d.setCuts(true)
+		e.later(func() { d.setCuts(false) })
+	case "discovery_empty":
+		d.setEmpty(true)
+		e.later(func() { d.setEmpty(false) })
 	case "surge":
 		c := e.w.Clients
 		c.setSurge(c.surge * e.Size)
--- a/internal/lab/world/kit_test.go
+++ b/internal/lab/world/kit_test.go
@@ -34,6 +34,7 @@
 	ended  map[Kind]int
 	answer func(a *Ask) // of the balancer
 	told   []string
+	gone   int // words that an app node is gone
 }
 
 func newScene(t *testing.T, set ...string) *scene {
@@ -97,9 +98,13 @@
 func (s *scene) Knew(n *Node, state State) {
 	s.told = append(s.told, fmt.Sprintf("knew %d %d", n.Index, state))
 }
-func (s *scene) Told(_ int, n *Node, state State) {}
-func (s *scene) Reached(int, bool)                {}
-func (s *scene) Broken(text string)               { s.hear("broken: %s", text) }
+func (s *scene) Told(_ int, n *Node, state State) {
+	if state == Gone {
+		s.gone++
+	}
+}
+func (s *scene) Reached(int, bool)  {}
+func (s *scene) Broken(text string) { s.hear("broken: %s", text) }
 
 // The listener of a watch.
 type ear struct{ *scene }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -170,7 +170,7 @@
 func (w *World) addNode(group, zone, address int) *Node {
 	g, rng := &w.Sc.Nodes[group], w.nodeRng
 	index := len(w.Nodes)
-	spec := NodeSpec{ID: fmt.Sprintf("s-%08x", uint32(w.Chance.Number("nodes/"+strconv.Itoa(index)))), Kind: g.Kind,
+	spec := NodeSpec{ID: NodeID(w.Chance, index), Kind: g.Kind,
 		Zone: zone, Cell: index/g.CellSize*len(w.Sc.Zones) + zone, Size: g.Size, Cores: g.Cores, Slots: g.Slots, Queue: g.Queue,
 		Speed: drawRange(rng, g.Speed), CrowdFrom: g.CrowdFrom, CrowdLoss: g.CrowdLoss,
 		ColdFrom: drawRange(rng, g.ColdFrom), ColdFor: draw(rng, g.ColdFor), Handshake: g.Handshake, Trips: g.Trips,
@@ -197,6 +197,11 @@
 	return n
 }
 
+// NodeID is the id of an app node in a run.
+func NodeID(src chance.Source, index int) string {
+	return fmt.Sprintf("s-%08x", uint32(src.Number("nodes/"+strconv.Itoa(index))))
+}
+
 // AddressName is an address as discovery writes it.
 func AddressName(address int) string { return "node-" + strconv.Itoa(address) + ":80" }
 
@@ -288,7 +293,7 @@
 // reach tells whether discovery can tell a balancer anything.
 func (w *World) reach(s *Seat) {
 	a, b := w.Net.At(Balancers, s.Zone), w.Net.At(DiscoverySide, 0)
-	can := s.Up && !w.Discovery.Down && !w.Discovery.Silent && !w.Net.Cut(a, b) && !w.Net.Cut(b, a)
+	can := s.Up && !w.Discovery.mute() && !w.Net.Cut(a, b) && !w.Net.Cut(b, a)
 	if can != s.reached {
 		s.reached = can
 		w.Seen.Reached(s.Index, can)
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -318,6 +318,39 @@
 	s.after(t, 10*time.Second)
 }
 
+// The empty list of a broken registry ends the watches and is no word on anybody, nor is what it learns meanwhile known.
+// A registry that cuts its first lines takes calls and says nothing.
+func TestAnEmptyListIsNoWord(t *testing.T) {
+	s := newScene(t, "discovery.line=100ms", "discovery.capacity=1000")
+	s.startBalancer(s.Balancers[0].with(s))
+	d := s.Discovery
+	at := d.rev
+	d.Watch(0, at, ear{s})
+	s.after(t, 300*ms, "opened", "changes")
+	d.setEmpty(true)
+	s.after(t, 100*ms, "closed")
+	w := d.Watch(0, at, ear{s})
+	s.after(t, 300*ms, "opened", "list")
+	d.publish(s.Nodes[1], Draining)
+	d.lie(s.Nodes[2], true)
+	s.after(t, 300*ms, "list")
+	d.lie(s.Nodes[2], false)
+	if s.gone > 0 || len(s.told) > 1 || s.Balancers[0].reached {
+		t.Errorf("%d told to be gone, %q; can be told: %v", s.gone, s.told, s.Balancers[0].reached)
+	}
+	w.Close()
+	d.setEmpty(false)
+	d.Watch(0, at, ear{s})
+	s.after(t, 300*ms, "opened", "list 0:0 1:1 2:0 3:0")
+	if !slices.Contains(s.told, "knew 1 1") || !s.Balancers[0].reached {
+		t.Errorf("%q; can be told: %v", s.told, s.Balancers[0].reached)
+	}
+	d.setCuts(true)
+	s.after(t, 100*ms, "closed")
+	d.Watch(0, at, ear{s})
+	s.after(t, 300*ms, "opened", "closed")
+}
+
 func (s *Seat) with(b Balancer) *Seat { s.B = b; return s }
 
 // Calls are served in turn, and one that has to wait for too long fails.
@@ -442,7 +475,7 @@
 		}
 		s.clock.Run(s.End + 10*time.Second)
 		d := s.Discovery
-		if d.Down || d.Silent || d.late != 0 || s.Clients.surge != 1 || slices.Max(s.Net.cuts) != 0 || slices.Max(s.Net.extra) != 0 {
+		if d.mute() || d.cuts || d.late != 0 || s.Clients.surge != 1 || slices.Max(s.Net.cuts) != 0 || slices.Max(s.Net.extra) != 0 {
 			t.Errorf("%s has left something behind", k.Name)
 		}
 		up := 0
