Let a run have its list go through a roster, and tell of discovery's lines

Need: the lab could not play the program with a roster. Change: Options.Roster makes one for each balancer, with discovery as its one source, and blank lines count as signs of life; Options.Line tells of each line that a balancer hears.

--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -14,11 +14,12 @@
 	"pewterrudder/internal/lab/timeline"
 	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
+	"pewterrudder/internal/roster"
 )
 
 // Figures of the shells, which the model takes over; the constants there say why.
 const (
-	clockStart    = 24 * time.Hour         // cmd/pewterrudder: the zero of the clock means "long ago" in lists
+	ClockStart    = 24 * time.Hour         // cmd/pewterrudder: the zero of the clock means "long ago" in lists
 	watchPatience = 4 * time.Second        // internal/registry: for the head of a watch
 	watchSilence  = 4 * time.Second        // internal/registry: without a line
 	acceptFor     = 720 * time.Millisecond // internal/acceptor: after the notice to end
@@ -106,6 +107,13 @@
 		} else {
 			b.red = b.laid(cfg, seed, budget)
 		}
+		if r.opt.Roster != nil {
+			m, err := roster.New(r.opt.Roster())
+			if err != nil {
+				panic("virtual: " + err.Error()) // they were good a moment ago
+			}
+			b.red.UseRoster(m, 0)
+		}
 		list := b.list(&known)
 		b.handle(reducer.Started{Known: list, Discovery: "discovery:0"})
 	}))
@@ -252,7 +260,7 @@
 
 // ---- the reducer ----
 
-func (b *balancer) now() time.Duration { return clockStart + b.run.clock.Now() }
+func (b *balancer) now() time.Duration { return ClockStart + b.run.clock.Now() }
 
 // handle drives the reducer with one event and carries out what follows. What that sets off comes back later, as
 // events of their own, just as it does through the real one's queue.
@@ -584,7 +592,13 @@
 		return
 	}
 	w.rest()
+	if line := w.b.run.opt.Line; line != nil {
+		line(w.b.index, w.b.run.clock.Now(), l)
+	}
 	if l == nil {
+		if w.b.run.opt.Roster != nil {
+			w.b.handle(reducer.Heard{Source: 0})
+		}
 		return
 	}
 	if l.Complete {
@@ -604,7 +618,7 @@
 		e := &l.Entries[i]
 		m := brain.Member{Server: e.Node.ID, Zone: zones[e.Node.Zone], Kind: e.Node.Kind, Cell: e.Node.Cell, Weight: e.Weight}
 		if e.Started != 0 {
-			m.Started = clockStart + e.Started
+			m.Started = ClockStart + e.Started
 		}
 		switch e.State {
 		case world.Draining:
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -25,6 +25,7 @@
 	"pewterrudder/internal/lab/timeline"
 	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
+	"pewterrudder/internal/roster"
 )
 
 // Policy makes the decisions of one balancer.
@@ -42,7 +43,11 @@
 	Log      io.Writer     // the whole log of events and the balancers' lines; nil: only a digest is kept
 	// Layout divides the fleet of a balancer with these settings over pools and zones; nil: one pool without zones. Each
 	// pool has a decider of the policy.
-	Layout  func(cfg brain.Settings) (reducer.Layout, error)
+	Layout func(cfg brain.Settings) (reducer.Layout, error)
+	// Roster has what discovery says go through a roster with these settings, as its one source; nil: its word is the list.
+	Roster func() roster.Settings
+	// Line is told of each line of discovery's that a balancer hears, at which moment; nil for the list is a blank one.
+	Line    func(balancer int, at time.Duration, l *world.List)
 	InOrder bool // tasks due at one instant run as they were set, instead of in an order drawn from the seed
 }
 
@@ -146,6 +151,13 @@
 	if _, err := opt.Policy(cfg, opt.Seed); err != nil {
 		return nil, fmt.Errorf("%s: %w", sc.Name, err)
 	}
+	if opt.Roster != nil {
+		if s := opt.Roster(); len(s.Sources) != 1 {
+			return nil, fmt.Errorf("%s: a roster of %d sources, where there is discovery alone", sc.Name, len(s.Sources))
+		} else if _, err := roster.New(s); err != nil {
+			return nil, fmt.Errorf("%s: %w", sc.Name, err)
+		}
+	}
 	r := &run{opt: opt, sc: sc, src: chance.New(opt.Seed), cfg: cfg}
 	order := uint64(0)
 	if !opt.InOrder {
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -148,7 +148,7 @@
 			}
 		}
 	case *brain.Request:
-		if s.flaw == "panics" && now > clockStart+5*time.Second {
+		if s.flaw == "panics" && now > ClockStart+5*time.Second {
 			panic("out of cheese")
 		}
 	}
