--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -33,6 +33,7 @@
 	Paper   paperCommand   `cmd:"" help:"Play the experiments of the paper on bursts, beside its figures."`
 	Scale   scaleCommand   `cmd:"" help:"Measure what the size of the fleet costs in the reducer."`
 	Zones   zonesCommand   `cmd:"" help:"Compare ways to lose a zone, or a pool."`
+	Rosters rostersCommand `cmd:"" help:"Compare what is believed of discovery where it is wrong, late or missing."`
 	Flow    flow           `cmd:"" help:"Measure answers that flow, on real processes."`
 	Demo    demoCommand    `cmd:"" help:"Show a site on this machine: app nodes, discovery, one real balancer and mild load."`
 	Eurekad eurekadCommand `cmd:"" help:"Stand in for a Eureka registry, and measure the client of one."`
