--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -38,7 +38,8 @@
 	Eurekad         eurekadCommand         `cmd:"" help:"Stand in for a Eureka registry, and measure the client of one."`
 	RosterHistories rosterHistoriesCommand `cmd:"" help:"Play random histories of a registry against the roster, and hold its list against them."`
 
-	Kvd kvdCommand `cmd:"" help:"Stand in for a key-value store, or measure the client of one."`
+	Kvd     kvdCommand     `cmd:"" help:"Stand in for a key-value store, or measure the client of one."`
+	Rosters rostersCommand `cmd:"" help:"Compare what is believed of discovery where it is wrong, late or missing."`
 
 	Completion completionCommand `cmd:"" help:"Print what makes a shell complete these commands."`
 	Complete   completeCommand   `cmd:"" hidden:"" passthrough:"" help:"Print what may come next on a line."`
