--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A box with a history of edits on 1,000 nodes, one in ten of them timed and each thirtieth ended.
+func boxOf(tb testing.TB, edits int) *box {
+	b := newBox()
+	for i := range edits {
+		e := Edit{ID: fmt.Sprint("e", i), By: "ann", What: Weight{fmt.Sprint("n", i%1000), float64(1 + i%7)}}
+		if i%10 == 0 {
+			e.What, e.For = Drain{fmt.Sprint("n", i%1000)}, time.Duration(1+i%3)*time.Hour
+		}
+		r, err := b.Propose(b.now, e)
+		if err == nil {
+			_, err = b.Commit(r)
+		}
+		if err != nil {
+			tb.Fatal(err)
+		}
+		b.now.Mono += time.Second
+		b.now.Wall = b.now.Wall.Add(time.Second)
+	}
+	return b
+}
+
+func BenchmarkEdit(b *testing.B) {
+	for _, n := range []int{100, 10_000, 1_000_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := boxOf(b, n)
+			i := n
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				r, err := s.Propose(s.now, Edit{ID: fmt.Sprint("e", i), By: "ann", Against: s.Revision(), What: Drain{fmt.Sprint("n", i%1000)}, For: time.Hour})
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := s.Commit(r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkStartFromSnapshot(b *testing.B) {
+	raw, err := boxOf(b, 10_000).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(raw)))
+	for b.Loop() {
+		if _, err := FromSnapshot(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// An edit on a history a thousand times as long must not take more allocations: nothing is walked or copied.
+func TestWorkDoesNotGrowWithHistory(t *testing.T) {
+	var allocs []float64
+	for _, n := range []int{100, 100_000} {
+		s := boxOf(t, n)
+		i := n
+		allocs = append(allocs, testing.AllocsPerRun(2000, func() {
+			i++
+			r, err := s.Propose(s.now, Edit{ID: fmt.Sprint("e", i), By: "ann", Against: s.Revision(), What: Weight{fmt.Sprint("n", i%1000), 2}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := s.Commit(r); err != nil {
+				t.Fatal(err)
+			}
+			s.now.Mono += time.Second
+			s.now.Wall = s.now.Wall.Add(time.Second)
+		}))
+	}
+	if allocs[1] > allocs[0]+1 {
+		t.Errorf("%.0f allocations an edit with a long history, %.0f with a short one", allocs[1], allocs[0])
+	}
+}
--- a/internal/control/edit.go
+++ b/internal/control/edit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 	"unicode"
 	"unicode/utf8"
@@ -32,44 +33,49 @@
 )
 
 // plainEdit is its JSON. Times are whole milliseconds.
-type plainEdit struct {
-	ID      string          `json:"id"`
-	By      string          `json:"by"`
-	Against uint64          `json:"against,omitempty"`
-	What    json.RawMessage `json:"what"`
-	Trial   int64           `json:"trial_ms,omitempty"`
-	For     int64           `json:"for_ms,omitempty"`
-	Force   bool            `json:"force,omitempty"`
+type plainEdit[T any] struct {
+	ID      string `json:"id"`
+	By      string `json:"by"`
+	Against uint64 `json:"against,omitempty"`
+	What    T      `json:"what"`
+	Trial   int64  `json:"trial_ms,omitempty"`
+	For     int64  `json:"for_ms,omitempty"`
+	Force   bool   `json:"force,omitempty"`
 }
 
 func (e Edit) MarshalJSON() ([]byte, error) {
-	what, err := json.Marshal(e.What)
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(plainEdit{e.ID, e.By, e.Against, what, e.Trial.Milliseconds(), e.For.Milliseconds(), e.Force})
+	return json.Marshal(plainEdit[Op]{e.ID, e.By, e.Against, e.What, e.Trial.Milliseconds(), e.For.Milliseconds(), e.Force})
 }
 
 // UnmarshalJSON takes no key that it does not know: an edit is made whole or not at all.
 func (e *Edit) UnmarshalJSON(b []byte) error {
-	var p plainEdit
+	var p plainEdit[plainOp]
 	if err := strictly(b, &p); err != nil {
 		return err
 	}
 	const most = int64(timeMost/time.Millisecond) + 1 // so that the product cannot overflow; check refuses it
-	what, err := DecodeOp(p.What)
+	what, err := p.What.op()
+	if err != nil {
+		return fmt.Errorf("what.%w", err)
+	}
 	*e = Edit{p.ID, p.By, p.Against, what, time.Duration(min(p.Trial, most)) * time.Millisecond,
 		time.Duration(min(p.For, most)) * time.Millisecond, p.Force}
 	if p.Trial < 0 || p.For < 0 {
 		return fmt.Errorf("trial_ms, for_ms: %d, %d, where times are wanted", p.Trial, p.For)
 	}
-	return err
+	return nil
 }
 
 func strictly(b []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	return d.Decode(v)
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return fmt.Errorf("there is more after the end")
+	}
+	return nil
 }
 
 // check refuses what could not be kept or shown. The error names the key of the JSON.
--- a/internal/control/op.go
+++ b/internal/control/op.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 	"strings"
 )
@@ -229,63 +230,74 @@
 // Kinds of operations, in the order in which a help text has them.
 var Kinds = []string{"drain", "restore", "weight", "cap", "note", "pool", "unpool", "several"}
 
-// DecodeOp reads an operation by its kind.
-func DecodeOp(b []byte) (Op, error) {
-	var tag struct{ Kind string }
-	if len(b) == 0 {
-		return nil, fmt.Errorf("what: missing")
+// plainOp has every key of every kind.
+type plainOp struct {
+	Kind    string    `json:"kind"`
+	Node    *string   `json:"node"`
+	Weight  *float64  `json:"weight"`
+	Pool    *string   `json:"pool"`
+	Open    *int      `json:"open"`
+	Subject *string   `json:"subject"`
+	Text    *string   `json:"text"`
+	Name    *string   `json:"name"`
+	Members []string  `json:"members"`
+	Ops     []plainOp `json:"ops"`
+}
+
+// take gives a key's value and clears it; what is left after all are taken has no place there.
+func take[T any](p **T) (v T) {
+	if *p != nil {
+		v = **p
 	}
-	if err := json.Unmarshal(b, &tag); err != nil {
-		return nil, fmt.Errorf("what: %w", err)
+	*p = nil
+	return v
+}
+
+// DecodeOp reads an operation by its kind. It takes no key that the kind has not: an edit is made whole or not at all.
+func DecodeOp(b []byte) (Op, error) {
+	var p plainOp
+	if err := strictly(b, &p); err != nil {
+		return nil, err
 	}
-	switch tag.Kind {
+	return p.op()
+}
+
+func (p plainOp) op() (o Op, err error) {
+	switch p.Kind {
 	case "drain":
-		return decode[Drain](b)
+		o = Drain{take(&p.Node)}
 	case "restore":
-		return decode[Restore](b)
+		o = Restore{take(&p.Node)}
 	case "weight":
-		return decode[Weight](b)
+		o = Weight{take(&p.Node), take(&p.Weight)}
 	case "cap":
-		return decode[Cap](b)
+		o = Cap{take(&p.Pool), take(&p.Open)}
 	case "note":
-		return decode[Note](b)
+		o = Note{take(&p.Subject), take(&p.Text)}
 	case "pool":
-		return decode[Pool](b)
+		o, p.Members = Pool{take(&p.Name), p.Members}, nil
 	case "unpool":
-		return decode[Unpool](b)
+		o = Unpool{take(&p.Name)}
 	case "several":
-		raw, err := decode[struct{ Ops []json.RawMessage }](b)
-		if err != nil {
-			return nil, err
-		}
-		var o Several
-		for i, r := range raw.Ops {
-			op, err := DecodeOp(r)
+		var all Several
+		for i, raw := range p.Ops {
+			op, err := raw.op()
 			if err != nil {
 				return nil, fmt.Errorf("ops[%d]: %w", i, err)
 			}
-			o.Ops = append(o.Ops, op)
+			all.Ops = append(all.Ops, op)
 		}
-		return o, nil
-	}
-	return nil, fmt.Errorf("kind: %q, where one of %s is wanted", tag.Kind, strings.Join(Kinds, ", "))
-}
-
-// decode takes no key but T's and "kind".
-func decode[T any](b []byte) (T, error) {
-	var v T
-	var raw map[string]json.RawMessage
-	if err := json.Unmarshal(b, &raw); err != nil {
-		return v, err
+		o, p.Ops = all, nil
+	default:
+		return nil, fmt.Errorf("kind: %q, where one of %s is wanted", p.Kind, strings.Join(Kinds, ", "))
 	}
-	for k := range raw { // encoding/json takes any case
-		if strings.EqualFold(k, "kind") {
-			delete(raw, k)
+	p.Kind = ""
+	if rest := reflect.ValueOf(p); !rest.IsZero() {
+		for i := range rest.NumField() {
+			if !rest.Field(i).IsZero() {
+				return nil, fmt.Errorf("%s: %s has no such key", rest.Type().Field(i).Tag.Get("json"), o.Kind())
+			}
 		}
 	}
-	rest, err := json.Marshal(raw)
-	if err != nil {
-		return v, err
-	}
-	return v, strictly(rest, &v)
+	return o, nil
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -77,21 +78,32 @@
 	return json.Marshal(snap)
 }
 
+// schemaOf reads the key that every schema has first, and not what it does not know.
+func schemaOf(b []byte) (schema int, err error) {
+	d := json.NewDecoder(bytes.NewReader(b))
+	for _, want := range []json.Token{json.Delim('{'), "schema"} {
+		if got, err := d.Token(); err != nil || got != want {
+			return 0, fmt.Errorf("%v, where %v is wanted first (%v)", got, want, err)
+		}
+	}
+	return schema, d.Decode(&schema)
+}
+
 // FromSnapshot makes a state of a snapshot, of this schema or an earlier one. What does not fit is an error with its
 // place, and no state.
 func FromSnapshot(b []byte) (*State, error) {
-	var raw map[string]json.RawMessage
-	var schema int
-	if err := json.Unmarshal(b, &raw); err != nil {
-		return nil, fmt.Errorf("control: snapshot: %w", err)
-	}
-	if err := json.Unmarshal(raw["schema"], &schema); err != nil {
+	schema, err := schemaOf(b)
+	if err != nil {
 		return nil, fmt.Errorf("control: snapshot: schema: %w", err)
 	}
 	if schema > Schema {
 		return nil, &Newer{schema}
 	}
 	if schema < Schema {
+		var raw map[string]json.RawMessage
+		if err := json.Unmarshal(b, &raw); err != nil {
+			return nil, fmt.Errorf("control: snapshot: %w", err)
+		}
 		for ; schema < Schema; schema++ {
 			next, ok := older[schema]
 			if !ok {
@@ -99,13 +111,12 @@
 			}
 			next(raw)
 		}
-		var err error
 		if b, err = json.Marshal(raw); err != nil {
 			return nil, fmt.Errorf("control: snapshot: %w", err)
 		}
 	}
 	var snap snapshot
-	if err := strictly(b, &snap); err != nil {
+	if err = strictly(b, &snap); err != nil {
 		return nil, fmt.Errorf("control: snapshot: %w", err)
 	}
 	s := New()
