Ask a silent discovery again beside what it owes, and within 1.5 s after a failure

Need: after its recovery discovery left a balancer blind for up to 7.2 s, 95 % under 5.2 s (200 outages each of 1 to 60 s: down, silent, cut in its first line). The time went into pauses of 1 to 3 s, and into the 4 s of patience for a head and in silence. Change: the module's pause is 0.5 to 1.5 s. A watch that has been silent for 2.5 s, or has had no head in 3.9 s, has further calls go out beside it, one a second; the first line decides, a word of discovery's own ends that. Cutting the patience instead had 995 of 1,000 balancers never served.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -161,7 +161,6 @@
 	fresh    []*server // new to the list since the sample was last looked at
 	epoch    int
 	kinds    map[string]float64 // largest weight seen of a kind, for live weights
-	askFails int
 	askArmed bool
 
 	rank               []*server // the sample, lowest figure first
@@ -346,17 +345,13 @@
 const cookieAsk, cookieParked, cookieOverdue = 1, 2, 3
 
 // followDiscovery keeps one subscription. Acts where the list must be asked for: the first call is spread by
-// the seed; after a failure comes a pause, 3 s at most, since what it misses counts as told after 6 s.
+// the seed; after a failure comes a pause, 1.5 s at most, since what it misses counts as told after 6 s.
 func (n *Node) followDiscovery(k UpdateKind) {
 	switch {
 	case k == UpdateRestored:
 		n.armAsk(time.Duration(n.rng.Float64() * float64(min(n.cfg.Rules.AskEvery/8, time.Second))))
 	case k == UpdateAskFailed:
-		pause := time.Second << min(n.askFails, 1)
-		n.askFails++
-		n.armAsk(pause/2 + time.Duration(n.rng.Float64()*float64(pause)))
-	default:
-		n.askFails = 0
+		n.armAsk(time.Second/2 + time.Duration(n.rng.Float64()*float64(time.Second)))
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,6 @@
-// Package registry owns the watch on discovery's list: one connection at a time, read line by line. It hands
-// on what it hears and says when a watch has ended. It must never open a watch that was not asked for, nor
-// keep a list of its own.
+// Package registry owns the watch on discovery's list, read line by line: one call, and further ones beside it while
+// discovery says nothing. It hands on what it hears and says when a watch has ended. It must never open a watch that was
+// not asked for, nor keep a list of its own.
 package registry
 
 import (
@@ -24,7 +24,12 @@
 	// silence on an open watch for so long means that it is broken: a line comes every 2 s at the least, and
 	// a machine that has vanished says nothing at all.
 	silence = 4 * time.Second
-	maxLine = 4 << 20
+	// besideAfter is when a further call goes out beside a watch that should have said something by now, and besideEvery
+	// how often then. Beside one without a head the first goes out just before its patience ends.
+	besideAfter = 2500 * time.Millisecond
+	besideEvery = time.Second
+	besideHead  = patience - 100*time.Millisecond
+	maxLine     = 4 << 20
 )
 
 // entry is a config.Entry under discovery's names.
@@ -92,7 +97,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	go func() {
-		err := g.follow(ctx, e)
+		defer cancel()
+		err := g.watch(ctx, e)
 		if ctx.Err() == nil {
 			g.post(reducer.WatchEnded{Watch: e.ID, Err: err})
 		}
@@ -101,11 +107,99 @@
 
 var errSilent = errors.New("no line for too long")
 
-func (g *Registry) follow(outer context.Context, e reducer.Watch) error {
+// word is what one call has heard.
+type word struct {
+	call int
+	list *reducer.List // nil: a blank line
+	err  error         // the call has ended
+}
+
+// watch follows one watch. A discovery that takes a call and says nothing may be well again while its answer to that call
+// is still lost; giving the call up sooner would have a discovery that works through calls in turn serve those that
+// nobody waits for any more. So where it has been silent for longer than it should be, further calls go out beside the
+// first, one a second: the first line decides which of them is the watch, and the others close.
+func (g *Registry) watch(ctx context.Context, e reducer.Watch) error {
+	words := make(chan word)
+	calls, last := map[int]context.CancelFunc{}, -1
+	begin := func() {
+		last++
+		call, cctx, since := last, ctx, e.Since
+		own, cancel := context.WithCancel(cctx)
+		calls[call] = cancel
+		go func() {
+			err := g.follow(own, e.Discovery, since, func(l *reducer.List) {
+				select {
+				case words <- word{call: call, list: l}:
+				case <-own.Done():
+				}
+			})
+			select {
+			case words <- word{call: call, err: err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	defer func() {
+		for _, cancel := range calls {
+			cancel()
+		}
+	}()
+	begin()
+	leads := -1 // the call that is the watch, once a line has come
+	beside := time.NewTimer(besideHead)
+	defer beside.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-beside.C:
+			if len(calls) == 1 {
+				g.log("registry: no word for too long; asking again beside it")
+			}
+			begin()
+			beside.Reset(besideEvery)
+		case w := <-words:
+			if calls[w.call] == nil {
+				continue // it was closed
+			}
+			if w.err != nil {
+				calls[w.call]()
+				delete(calls, w.call)
+				if len(calls) == 0 {
+					return w.err
+				}
+				if late := net.Error(nil); w.err != errSilent && !(errors.As(w.err, &late) && late.Timeout()) {
+					beside.Reset(besideHead) // it speaks: the calls that are out have their turn coming
+				}
+				continue
+			}
+			if w.call != leads {
+				leads = w.call
+				for call, cancel := range calls {
+					if call != leads {
+						cancel()
+						delete(calls, call)
+					}
+				}
+			}
+			beside.Reset(besideAfter)
+			switch {
+			case w.list != nil:
+				e.Since = w.list.Revision
+				g.post(reducer.Listed{Watch: e.ID, List: *w.list})
+			case g.heard != nil:
+				g.heard()
+			}
+		}
+	}
+}
+
+// follow makes one call and hands on its lines, nil for a blank one, until it ends.
+func (g *Registry) follow(outer context.Context, discovery string, since int64, line func(*reducer.List)) error {
 	ctx, stop := context.WithCancelCause(outer)
 	defer stop(nil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
-		"http://"+e.Discovery+"/registry/instances?follow=1&since="+strconv.FormatInt(e.Since, 10), nil)
+		"http://"+discovery+"/registry/instances?follow=1&since="+strconv.FormatInt(since, 10), nil)
 	if err != nil {
 		return err
 	}
@@ -113,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close() // the one place where a watch is given back
+	defer resp.Body.Close() // the one place where a call is given back
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
@@ -124,9 +218,7 @@
 	for lines.Scan() {
 		quiet.Reset(silence)
 		if len(lines.Bytes()) == 0 {
-			if g.heard != nil && outer.Err() == nil {
-				g.heard()
-			}
+			line(nil)
 			continue
 		}
 		list, err := Decode(lines.Bytes(), g.started)
@@ -136,10 +228,7 @@
 				return err // not a list at all: after a gap only a new watch gives the whole
 			}
 		}
-		if outer.Err() != nil {
-			return outer.Err()
-		}
-		g.post(reducer.Listed{Watch: e.ID, List: list})
+		line(&list)
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
