--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -99,10 +99,14 @@
 		if err != nil {
 			return err
 		}
-		err = errors.Join(about.Put(keyLayout, key(layout)), about.Put(keySchema, key(c.Schema)))
-		if c.Snapshot != nil && err == nil {
-			err = about.Put(keySnapshot, append(key(c.Snapshot.Revision), encode(*c.Snapshot)...))
+		// Always there, or a key that has gone bad would read as a store that never had a snapshot.
+		var snapshot Record
+		if c.Snapshot != nil {
+			snapshot = Record{Revision: c.Snapshot.Revision, Data: append([]byte{1}, c.Snapshot.Data...)}
 		}
+		err = errors.Join(about.Put(keyLayout, encode(Record{Data: key(layout)})),
+			about.Put(keySchema, encode(Record{Data: key(c.Schema)})),
+			about.Put(keySnapshot, append(key(snapshot.Revision), encode(snapshot)...)))
 		records.FillPercent = 0.9
 		for _, r := range c.Records {
 			if err == nil {
--- a/internal/store/crash_linux_amd64_test.go
+++ b/internal/store/crash_linux_amd64_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -206,16 +205,3 @@
 		return crashdisk.Fault{Errno: errno}
 	}
 }
-
-// room is a folder in memory where there is such, as thousands of images are written that nobody needs on a disk.
-func room(t *testing.T) string {
-	dir, err := os.MkdirTemp("/dev/shm", "store")
-	if err != nil {
-		return t.TempDir()
-	}
-	t.Cleanup(func() { os.RemoveAll(dir) })
-	if dir, err = filepath.EvalSymlinks(dir); err != nil {
-		t.Fatal(err)
-	}
-	return dir
-}
--- a/internal/store/crash_stub_test.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package store
-
-func full(string) {}
-func holdOpen(string) {}
--- a/internal/store/document.go
+++ b/internal/store/document.go
@@ -76,6 +76,11 @@
 	}
 	s.writer.Lock()
 	defer s.writer.Unlock()
+	return s.swap(c, over)
+}
+
+// swap is Import's change. The writer's lock is held.
+func (s *Store) swap(c Contents, over bool) error {
 	if err := s.ready(); err != nil {
 		return err
 	}
--- a/internal/store/lock.go
+++ b/internal/store/lock.go
@@ -44,3 +44,8 @@
 	}
 	return f, nil
 }
+
+// release ends the lock itself, since a process that is just being started may hold a copy of the descriptor.
+func release(f *os.File) error {
+	return errors.Join(syscall.Flock(int(f.Fd()), syscall.LOCK_UN), f.Close())
+}
--- a/internal/store/read.go
+++ b/internal/store/read.go
@@ -52,7 +52,7 @@
 				yield(Record{}, err)
 				return
 			}
-			if len(some) < chunk {
+			if len(some) == 0 {
 				return
 			}
 			from = some[len(some)-1].Revision + 1
@@ -78,25 +78,26 @@
 		if about == nil || records == nil {
 			return damaged("a bucket is missing")
 		}
-		if v := about.Get(keyLayout); len(v) != 8 {
-			return damaged("no layout")
-		} else if v := binary.BigEndian.Uint64(v); v > layout {
-			return &Newer{Path: db.Path(), Have: v, Wanted: layout}
+		kind, err := number(about, keyLayout)
+		if err != nil {
+			return err
 		}
-		v := about.Get(keySchema)
-		if len(v) != 8 {
-			return damaged("no schema")
+		if kind > layout {
+			return &Newer{Path: db.Path(), Have: kind, Wanted: layout}
 		}
-		c.Schema = binary.BigEndian.Uint64(v)
-		if v := about.Get(keySnapshot); v != nil {
-			if len(v) < 8 {
-				return damaged("the snapshot has no revision")
-			}
-			r, err := decode(binary.BigEndian.Uint64(v), v[8:])
-			if err != nil {
-				return err
-			}
-			c.Snapshot = &r
+		if c.Schema, err = number(about, keySchema); err != nil {
+			return err
+		}
+		v := about.Get(keySnapshot)
+		if len(v) < 8 {
+			return damaged("the snapshot's place is missing")
+		}
+		r, err := decode(binary.BigEndian.Uint64(v), v[8:])
+		if err != nil {
+			return err
+		}
+		if len(r.Data) > 0 {
+			c.Snapshot = &Record{Revision: r.Revision, Data: r.Data[1:]}
 		}
 		var n, before uint64
 		cursor := records.Cursor()
@@ -125,3 +126,11 @@
 	}
 	return c, err
 }
+
+func number(about *bbolt.Bucket, name []byte) (uint64, error) {
+	r, err := decode(0, about.Get(name))
+	if err != nil || len(r.Data) != 8 {
+		return 0, damaged("its %s is not whole", name)
+	}
+	return binary.BigEndian.Uint64(r.Data), nil
+}
--- a/internal/store/sound.go
+++ b/internal/store/sound.go
@@ -31,29 +31,30 @@
 	seen []bool
 }
 
-func soundFile(path string) error {
+func soundFile(path string) (heads int, err error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer f.Close()
 	info, err := f.Stat()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	return sound(f, info.Size())
 }
 
-func sound(f io.ReaderAt, size int64) error {
+// sound tells how many of the two heads are whole. One is enough, and right after a crash in the middle of a commit; but
+// it may also be the newer one that has gone bad since, and then the last change has gone with it.
+func sound(f io.ReaderAt, size int64) (heads int, err error) {
 	if size < 4*pageSize {
-		return damaged("it is %d bytes long, which is too short", size)
+		return 0, damaged("it is %d bytes long, which is too short", size)
 	}
 	var root, free, high, txid uint64
-	found := false
 	for i := range int64(2) {
 		p := make([]byte, pageSize)
 		if _, err := f.ReadAt(p, i*pageSize); err != nil {
-			return err
+			return 0, err
 		}
 		m := p[pageHeader:]
 		sum := fnv.New64a()
@@ -62,24 +63,25 @@
 			continue
 		}
 		if order.Uint32(m[8:]) != pageSize {
-			return damaged("its pages are of %d bytes", order.Uint32(m[8:]))
+			return 0, damaged("its pages are of %d bytes", order.Uint32(m[8:]))
 		}
-		if t := order.Uint64(m[48:]); !found || t > txid {
-			found, txid = true, t
+		heads++
+		if t := order.Uint64(m[48:]); heads == 1 || t > txid {
+			txid = t
 			root, free, high = order.Uint64(m[16:]), order.Uint64(m[32:]), order.Uint64(m[40:])
 		}
 	}
-	if !found {
-		return damaged("neither of its two heads is whole")
+	if heads == 0 {
+		return 0, damaged("neither of its two heads is whole")
 	}
 	if high > uint64(size)/pageSize {
-		return damaged("it has been cut off: %d pages of %d are there", size/pageSize, high)
+		return 0, damaged("it has been cut off: %d pages of %d are there", size/pageSize, high)
 	}
 	w := &walk{f: f, high: high, seen: make([]bool, high)}
 	if err := w.tree(root, 0); err != nil {
-		return err
+		return heads, err
 	}
-	return w.free(free)
+	return heads, w.free(free)
 }
 
 // page reads a page, which nothing else may lead to.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -158,7 +158,7 @@
 		if s.db != nil {
 			s.db.Close()
 		}
-		lock.Close()
+		release(lock)
 		return nil, err
 	}
 	return s, nil
@@ -232,10 +232,15 @@
 	if err := syncDir(s.dir); err != nil {
 		return c, err
 	}
-	if err := soundFile(path); err != nil {
+	heads, err := soundFile(path)
+	if err != nil {
 		return c, err
 	}
-	err := guarded(func() (err error) {
+	if heads < 2 {
+		s.log.Warn("store_head_lost", "file", path, "reason", "one of the file's two heads is not whole: a crash in the middle of "+
+			"a change does that, and the change was not answered then; if there was no crash, the last change is lost")
+	}
+	err = guarded(func() (err error) {
 		if s.db, err = openBolt(path); err != nil {
 			return err
 		}
@@ -292,7 +297,7 @@
 		err = s.db.Close()
 	}
 	s.db = nil
-	return errors.Join(err, s.lock.Close())
+	return errors.Join(err, release(s.lock))
 }
 
 // fault is a panic out of bbolt, or a page of its map that the disk would not give (SIGBUS).
--- a/internal/store/workload_test.go
+++ b/internal/store/workload_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -241,9 +242,14 @@
 			text(tail(got)))
 	}
 	more := got[len(t.sure):]
-	if len(more) == 0 || startOf(more, t.flight) || startOf(more, t.doubted) {
+	if len(more) == 0 || startOf(more, t.flight) {
 		return nil
 	}
+	for i := range t.doubted { // one doubted is taken back before the next is written, unless they were written together
+		if startOf(more, t.doubted[i:]) {
+			return nil
+		}
+	}
 	return fmt.Errorf("invented:%s; in flight were %v, in doubt %v", text(more), t.flight, t.doubted)
 }
 
@@ -264,3 +270,16 @@
 func (t *told) copy() *told {
 	return &told{slices.Clone(t.sure), slices.Clone(t.flight), slices.Clone(t.doubted)}
 }
+
+// room is a folder in memory where there is such, as thousands of images are written that nobody needs on a disk.
+func room(t *testing.T) string {
+	dir, err := os.MkdirTemp("/dev/shm", "store")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	if dir, err = filepath.EvalSymlinks(dir); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
