--- a/internal/boxd/boxapi/live.go
+++ b/internal/boxd/boxapi/live.go
@@ -1,6 +1,10 @@
 package boxapi
 
-import "time"
+import (
+	"time"
+
+	"pewterrudder/internal/control"
+)
 
 // Status is the box at a glance.
 type Status struct {
@@ -19,21 +23,14 @@
 	Failed   uint64        `json:"failed"`
 
 	// The service fills these in.
-	Revision uint64   `json:"revision"`
-	Store    string   `json:"store"` // "ok", or why edits are refused
-	Trials   []Ending `json:"trials,omitempty"`
-	Watchers int      `json:"watchers"`
+	Revision uint64         `json:"revision"`
+	Store    string         `json:"store"`            // StoreOK, or why edits are refused
+	Ending   []control.Want `json:"ending,omitempty"` // what ends by itself, or unless it is confirmed
+	Watchers int            `json:"watchers"`
 }
 
-// Ending is an edit that ends by itself.
-type Ending struct {
-	Revision uint64    `json:"revision"`
-	ID       string    `json:"id"`
-	By       string    `json:"by"`
-	What     string    `json:"what"`
-	Trial    bool      `json:"trial"` // unless it is confirmed
-	At       time.Time `json:"at"`
-}
+// StoreOK is what Status says of a store whose latest write succeeded.
+const StoreOK = "ok"
 
 // Pool is one pool: what it has, and what operators want of it.
 type Pool struct {
@@ -42,8 +39,8 @@
 	Serving  int     `json:"serving"`
 	Open     int     `json:"open_calls"`
 	Rate     float64 `json:"calls_per_s"`
-	Cap      int     `json:"cap,omitempty"`    // most open calls; 0: none
-	ByHand   bool    `json:"by_hand"`          // operators made it: discovery has no say
+	Cap      int     `json:"cap,omitempty"`     // most open calls; 0: none
+	ByHand   bool    `json:"by_hand"`           // operators made it: discovery has no say
 	Warnings string  `json:"warning,omitempty"` // such as: no node is left
 }
 
@@ -71,6 +68,7 @@
 	Zone    string        `json:"zone,omitempty"`
 	Pools   []string      `json:"pools"`
 	State   State         `json:"state"`
+	Ready   bool          `json:"ready"`    // it would get work, were it not for an operator's drain
 	Since   time.Duration `json:"since_ns"` // it has been so; 0: not known
 	Load    float64       `json:"load"`     // as last reported, 1 being all that it can
 	Open    int           `json:"open_calls"`
@@ -79,10 +77,9 @@
 
 	// The roster's word and the operators' are kept apart. 0: they have none.
 	RosterWeight float64 `json:"roster_weight"`
+	RosterDrains bool    `json:"roster_drains"`
 	Weight       float64 `json:"weight,omitempty"`
 	Drained      bool    `json:"drained"` // the operators' word, whatever State is
-	By           string  `json:"by,omitempty"`
-	Note         string  `json:"note,omitempty"`
 }
 
 // Why says why a node gets the work that it gets, most weighty first.
--- a/internal/boxd/watch.go
+++ b/internal/boxd/watch.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/http"
+	"pewterrudder/internal/control"
 	"sync"
+	"time"
 
 	"pewterrudder/internal/boxd/boxapi"
 )
@@ -12,26 +16,32 @@
 // let go of in the meantime, it is told the number of.
 type hub struct {
 	mu     sync.Mutex
-	ring   [][]byte
+	ring   []entry
 	next   uint64 // number of the line to come; line n lies at n % len(ring)
 	signal chan struct{}
 	closed bool
 }
 
-func newHub(lines int) *hub { return &hub{ring: make([][]byte, lines), signal: make(chan struct{})} }
+// entry is one line, with the revision that it tells of; 0: none.
+type entry struct {
+	line     []byte
+	revision uint64
+}
+
+func newHub(lines int) *hub { return &hub{ring: make([]entry, lines), signal: make(chan struct{})} }
 
 // say adds a line. It never waits for a reader.
 func (h *hub) say(ev boxapi.Happening) {
-	line, err := json.Marshal(ev)
-	if err != nil {
-		return // nothing that cannot be marshalled is ever put in one
+	e := entry{line: marshal(ev)}
+	if ev.Record != nil {
+		e.revision = ev.Record.Revision
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
 		return
 	}
-	h.ring[h.next%uint64(len(h.ring))] = append(line, '\n')
+	h.ring[h.next%uint64(len(h.ring))] = e
 	h.next++
 	close(h.signal)
 	h.signal = make(chan struct{})
@@ -56,7 +66,7 @@
 
 // read gives up to most lines from a place on, and the place after them; missed are those that the ring no longer has.
 // Where there is nothing yet, wait tells when there is; over says that nothing more will come.
-func (h *hub) read(at uint64, most int) (lines [][]byte, next, missed uint64, wait <-chan struct{}, over bool) {
+func (h *hub) read(at uint64, most int) (lines []entry, next, missed uint64, wait <-chan struct{}, over bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if kept := uint64(len(h.ring)); h.next > at+kept {
@@ -68,3 +78,98 @@
 	}
 	return lines, at, missed, h.signal, h.closed && at == h.next
 }
+
+// lineBatch is how many lines a reader is given with one deadline.
+const lineBatch = 64
+
+// watch streams what happens until the reader leaves, is too slow to take a batch, or the box goes down.
+func (s *Service) watch(w http.ResponseWriter, r *http.Request) {
+	back, _, err := number(r, "back")
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	from, since, err := number(r, "from")
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	s.mu.Lock()
+	if s.watchers >= s.Bounds.Watchers {
+		s.mu.Unlock()
+		refuse(w, &boxapi.Flaw{Code: boxapi.Busy, Text: fmt.Sprintf("%d watch already, and no more may: end one of them", s.Bounds.Watchers)})
+		return
+	}
+	s.watchers++
+	at := s.hub.now()
+	revision := s.State.Revision()
+	var told uint64 // records up to this one have been sent, though their line may be still to come
+	var earlier []control.Record
+	if since {
+		earlier, told = s.State.History(from), revision
+	}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.watchers--
+		s.mu.Unlock()
+	}()
+
+	out := http.NewResponseController(w)
+	send := func(lines ...[]byte) bool {
+		out.SetWriteDeadline(time.Now().Add(s.Bounds.Write))
+		for _, line := range lines {
+			if _, err := w.Write(line); err != nil {
+				return false
+			}
+		}
+		return out.Flush() == nil
+	}
+	out.SetReadDeadline(time.Time{}) // it says nothing more, and may stay
+	w.Header().Set("Content-Type", "application/jsonl")
+	w.Header().Set("ETag", boxapi.Tag(revision))
+	if !send(marshal(boxapi.Happening{Kind: boxapi.Hello, At: s.Now().Wall, Revision: revision})) {
+		return
+	}
+	for i := range earlier {
+		if !send(marshal(boxapi.Happening{Kind: boxapi.Made, At: earlier[i].Wall, Record: &earlier[i]})) {
+			return
+		}
+	}
+	if !since {
+		at -= min(back, at, uint64(s.Bounds.Lines))
+	}
+	batch := make([][]byte, 0, lineBatch)
+	for {
+		lines, next, missed, wait, over := s.hub.read(at, lineBatch)
+		if missed > 0 && !send(marshal(boxapi.Happening{Kind: boxapi.Missed, At: s.Now().Wall, Missed: missed})) {
+			return
+		}
+		batch := batch[:0]
+		for _, e := range lines {
+			if e.revision == 0 || e.revision > told {
+				batch = append(batch, e.line)
+			}
+		}
+		if len(batch) > 0 && !send(batch...) {
+			return
+		}
+		at = next
+		if over {
+			return
+		}
+		if len(lines) > 0 {
+			continue
+		}
+		select {
+		case <-wait:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func marshal(ev boxapi.Happening) []byte {
+	line, _ := json.Marshal(ev)
+	return append(line, '\n')
+}
