Say which of two ends at once leaves a pool without a ready node

Ends in one Tick were each judged as if alone, so that two which empty a pool together did not say so. The model compares what every record says to be emptied, and a test bounds what timed edits on one key leave behind after Trim.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -60,6 +60,29 @@
 	}
 }
 
+// A script that drains a node for half an hour every ten minutes, for years: what has run out is let go of.
+func TestTimedEditsOnOneKeyDoNotPileUp(t *testing.T) {
+	b := newBox()
+	keep := made(t, b)
+	for i := range 2000 {
+		keep(b.Propose(b.now, Edit{ID: fmt.Sprint("e", i), By: "cron", What: Drain{"n1"}, For: 30 * time.Minute}))
+		b.pass(10 * time.Minute)
+		if i%100 == 99 {
+			b.Trim(10)
+		}
+	}
+	if len(b.layers) > 20 || len(b.ids) > 20 || len(b.history) > 10 {
+		t.Errorf("%d edits, %d ids, %d records are held after Trim(10)", len(b.layers), len(b.ids), len(b.history))
+	}
+	if _, ok := b.Want().Find("drain n1"); !ok {
+		t.Error("the latest drain is gone")
+	}
+	b.pass(21 * time.Minute)
+	if all, _, _, err := b.settle(); err != nil || len(all) != 1 || all[0].Sets[0].Now != 0 {
+		t.Errorf("at the end: %v, %v, where it goes back to nothing", all, err)
+	}
+}
+
 // An edit on a history a thousand times as long must not take more allocations: nothing is walked or copied.
 func TestWorkDoesNotGrowWithHistory(t *testing.T) {
 	var allocs []float64
--- a/internal/control/cases_test.go
+++ b/internal/control/cases_test.go
@@ -219,6 +219,9 @@
 				}
 				for _, r := range all {
 					fmt.Fprintf(&out, "%s\n", &r)
+					if len(r.Empties) > 0 {
+						fmt.Fprintf(&out, "  without a ready node: %s\n", strings.Join(r.Empties, " "))
+					}
 				}
 				if next >= 0 {
 					fmt.Fprintf(&out, "looks again in %v\n", next)
--- a/internal/control/hear.go
+++ b/internal/control/hear.go
@@ -1,9 +1,6 @@
 package control
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 // Sight is what the roster and the health of a node say, as the caller sees it. It is no part of what operators want, and
 // of it only the question before the last node comes.
@@ -17,7 +14,7 @@
 // Hear takes the latest of a node. One that has gone from the roster is told with Gone.
 func (s *State) Hear(node string, n Sight) {
 	s.Gone(node)
-	n.Pools = slices.Compact(slices.Sorted(slices.Values(n.Pools)))
+	n.Pools = slices.Clone(n.Pools)
 	s.sights[node] = n
 	s.count(node, 1)
 }
@@ -68,8 +65,9 @@
 	}
 }
 
-// empties gives the pools that a record takes the last ready node of. own are the parts of its edit, if it has one.
-func (s *State) empties(r *Record, own []part) []string {
+// empties gives the pools that a record takes the last ready node of. own are the parts of its edit, if it has one; fewer
+// is how many nodes each pool loses by records that will count before it, and then by it too.
+func (s *State) empties(r *Record, own []part, fewer map[string]int) []string {
 	less := map[string]int{}
 	for i, set := range r.Sets {
 		thing, node := set.Key.Parts()
@@ -89,9 +87,13 @@
 			}
 		}
 	}
-	maps.DeleteFunc(less, func(p string, n int) bool { return n <= 0 || s.ready[p] > n })
-	if len(less) == 0 {
-		return nil
+	var out []string
+	for p, n := range less {
+		if left := s.ready[p] - fewer[p]; n > 0 && left == n {
+			out = append(out, p)
+		}
+		fewer[p] += n
 	}
-	return slices.Sorted(maps.Keys(less))
+	slices.Sort(out)
+	return out
 }
--- a/internal/control/model_test.go
+++ b/internal/control/model_test.go
@@ -442,6 +442,9 @@
 							n.add(act{kind: Clock, box: r.Box}, nil)
 						} else {
 							n.end(r.Of, r.Box)
+							if !slices.Equal(r.Empties, n.emptied()) {
+								t.Fatalf("%v empties %v, where %v is wanted", &r, r.Empties, n.emptied())
+							}
 							if len(n.emptied()) > 0 {
 								met["tick empties"]++
 							}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -100,7 +100,7 @@
 
 // asked refuses what takes the last ready node of a pool, unless it is forced.
 func (s *State) asked(r Record, own []part, force bool) (Record, error) {
-	r.Empties = s.empties(&r, own)
+	r.Empties = s.empties(&r, own, map[string]int{})
 	if len(r.Empties) > 0 && !force {
 		no := refuse(Last, "pool %s would be left without a ready node", r.Empties[0])
 		no.Pool = r.Empties[0]
--- a/internal/control/time.go
+++ b/internal/control/time.go
@@ -70,6 +70,7 @@
 	if s.jumped(at) {
 		return []Record{s.next(now, Clock, "", "", 0)}, 0
 	}
+	fewer := map[string]int{}
 	for _, l := range s.timers.until(at.Box) {
 		r := s.next(now, Ended, "", "", l.Revision)
 		r.Revision += uint64(len(due))
@@ -78,7 +79,7 @@
 				r.Sets = append(r.Sets, Set{set.Key, l.Revision, s.alive(set.Key, l.Sets[i].Was, at.Box)})
 			}
 		}
-		r.Empties = s.empties(&r, nil)
+		r.Empties = s.empties(&r, nil, fewer)
 		due = append(due, r)
 	}
 	if len(due) > 0 {
