--- a/internal/store/append.go
+++ b/internal/store/append.go
@@ -100,7 +100,7 @@
 		s.mu.Lock()
 		if err == nil {
 			s.last = batch[len(batch)-1].records[len(batch[len(batch)-1].records)-1].Revision
-		} else {
+		} else if !errors.Is(err, errImported) {
 			for _, w := range s.queue {
 				w.done <- &Refused{Reason: fmt.Errorf("the change before it failed: %w", errors.Unwrap(err))}
 			}
