Run the box: operators' edits in force, over a unix socket, held over a kill

A settings file that names a folder makes the program an appliance. It opens the store there, puts what operators want in force before it answers them, and serves the control socket beside the calls. Off by default, as on the platform, which has no lasting disk: then nothing is opened and nothing runs.

The reducer counts what it has taken, served, refused and failed, and shows each app node's load, pauses and ejections a page at a time, so that status and why rest on facts. The counts are held against each other in the random model: all calls taken are served, refused, failed, left or still open.

--- a/brain/sight.go
+++ b/brain/sight.go
@@ -1,5 +1,33 @@
 package brain
 
+import "time"
+
 // Burst tells whoever watches a node what its detector holds: how many candidates a pick is drawn from, and whether a burst
 // is on. It changes nothing.
 func (n *Node) Burst() (k int, on bool) { return n.choices(), n.burst }
+
+// ServerSight is what a node holds of a server at a moment, for whoever watches.
+type ServerSight struct {
+	Known    bool
+	Load     float64       // requests held per size, by the last report
+	Reported time.Duration // when that came; 0: never
+	InFlight int           // of this node's own
+	Ejected  time.Duration // for any class, until then; in the past: not
+	Paused   time.Duration // after refusals, likewise
+}
+
+// Sight tells what is held of a server. It changes nothing.
+func (n *Node) Sight(server string) ServerSight {
+	s := n.byID[server]
+	if s == nil {
+		return ServerSight{}
+	}
+	v := ServerSight{Known: true, InFlight: s.inflight}
+	if s.hasReport {
+		v.Load, v.Reported = s.held/s.size, s.reportAt
+	}
+	for i := range s.by {
+		v.Ejected, v.Paused = max(v.Ejected, s.by[i].ejectUntil), max(v.Paused, s.by[i].shedUntil)
+	}
+	return v
+}
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -118,6 +118,7 @@
 		return err
 	}
 	defer others.stop()
+	var standing standing
 	go func() {
 		var effects []reducer.Effect
 		for ev := range events {
@@ -142,6 +143,7 @@
 					time.AfterFunc(e.After, func() { post(e.Event) })
 				case reducer.Ready:
 					front.Ready()
+					standing.ready.Store(true)
 					others.show(eureka.Serving)
 				case reducer.Log:
 					log.Print(e.Text)
@@ -151,6 +153,11 @@
 		}
 	}()
 	post(reducer.Started{Known: known, Discovery: cfg.Discovery})
+	ops, err := operate(cfg, state, post, now, &standing)
+	if err != nil {
+		return err
+	}
+	defer ops.stop()
 
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
@@ -189,6 +196,7 @@
 			}
 		case <-term:
 			log.Print("draining")
+			standing.draining.Store(true)
 			others.show(eureka.OutOfService)
 			term = nil   // once is enough
 			served = nil // the listener ends by itself now
--- a/cmd/pewterrudder/sources_test.go
+++ b/cmd/pewterrudder/sources_test.go
@@ -26,9 +26,14 @@
 	log   *output
 	asked int
 	end   func()
+	kill  func()
 }
 
 func withSources(t *testing.T, sources string) *sourced {
+	return withSettings(t, `{"roster": {"hold_ms": 2000, "sources": [`+sources+`]}}`)
+}
+
+func withSettings(t *testing.T, service string) *sourced {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -38,13 +43,17 @@
 	text := fmt.Sprintf(file, s.addr, "127.0.0.1:1", "x")
 	text = text[:strings.Index(text, `"known":`)] + text[strings.Index(text, `"settings":`):]
 	settings := filepath.Join(t.TempDir(), "settings.json")
-	if err := os.WriteFile(settings, []byte(`{"roster": {"hold_ms": 2000, "sources": [`+sources+`]}}`), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(service), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("RUDDER_SETTINGS", settings)
 	cmd, log := balancer(t, text)
 	s.log = log
 	t.Cleanup(func() { cmd.Process.Kill() })
+	s.kill = func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	}
 	s.end = func() {
 		t.Helper()
 		cmd.Process.Signal(syscall.SIGTERM)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -335,7 +335,8 @@
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"flow, in the settings file,", c.Service.Flow == next.Service.Flow},
-		{"roster, in the settings file,", reflect.DeepEqual(c.Service.Roster, next.Service.Roster)}} {
+		{"roster, in the settings file,", reflect.DeepEqual(c.Service.Roster, next.Service.Roster)},
+		{"box, in the settings file,", c.Service.Box == next.Service.Box}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -22,6 +22,12 @@
 	Pools  []Pool  `json:"pools"`  // none: one, with every app node
 	Zones  Zones   `json:"zones"`  // of every pool
 	Roster Roster  `json:"roster"`
+	Box    Box     `json:"box"`
+}
+
+// Box is what makes the program an appliance: operators' edits are held in a folder, and asked for over a socket in it.
+type Box struct {
+	State string `json:"state"` // the folder; none: neither is there, as on the platform
 }
 
 // Flow bounds the bodies that pass through without being held whole.
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -19,7 +19,7 @@
 	if err := s.read(raw); err != nil || !reflect.DeepEqual(s, DefaultService()) {
 		t.Errorf("%+v, %v; the defaults are %+v", s, err, DefaultService())
 	}
-	for _, section := range []any{Service{}, Route{}, Share{}, Pool{}, Members{}, Zones{}} { // those of lists that are empty are shown in comments
+	for _, section := range []any{Service{}, Route{}, Share{}, Pool{}, Members{}, Zones{}, Box{}} { // those of lists that are empty are shown in comments
 		for k := range reflect.TypeOf(section).Fields() {
 			if key := `"` + k.Tag.Get("json") + `":`; !strings.Contains(string(raw), key) {
 				t.Errorf("%s of %T is not shown", key, section)
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -12,6 +12,7 @@
 	c := &call{Call: in, deadline: in.Deadline - answerMargin, brainID: strconv.FormatUint(in.ID, 10)}
 	c.pool = r.poolOf(in)
 	c.pool.open++
+	r.counts.Taken++
 	r.calls[in.ID], r.byBrain[c.brainID] = c, c
 	if first := r.byClient[c.ClientID]; first != nil {
 		// Ids are fresh, so one of the two is a copy, and which of them is not told by the order in which we read
@@ -88,9 +89,24 @@
 	return late || early
 }
 
+// counted enters a final answer.
+func (r *Reducer) counted(k Kind) {
+	switch k {
+	case Served:
+		r.counts.Served++
+	case Refused:
+		r.counts.Refused++
+	default:
+		r.counts.Failed++
+	}
+}
+
 // onClientGone: nothing is owed any more. What flows to the client is no business of the module's, so it ends here.
 func (r *Reducer) onClientGone(c *call) {
 	c.done = true
+	if c.flow == nil { // one that flows has been counted by its answer
+		r.counts.Left++
+	}
 	r.tell(c.pool, &brain.ClientGone{ID: c.brainID})
 	if d := c.flow; d != nil && !d.over {
 		r.abandon(d)
@@ -133,6 +149,7 @@
 		return
 	}
 	c.done = true
+	r.counted(reply.Kind)
 	r.emit(Answer{c.ID, reply})
 	r.settle(c)
 	r.forget(c)
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -125,6 +125,7 @@
 		kind, c.rejected = Rejected, true
 	}
 	k.state, c.flow, d.begun = flowing, d, r.now
+	r.counted(kind)
 	r.emit(Answer{c.ID, Reply{Kind: kind, Message: e.Message}})
 	r.tell(c.pool, &brain.StreamBegun{ID: c.brainID, Attempt: d.attempt, Server: d.server, Took: r.now - d.sent})
 }
--- a/internal/reducer/operator.go
+++ b/internal/reducer/operator.go
@@ -25,8 +25,12 @@
 	Total int        // app nodes listed
 	Calls int        // open
 	Conns int        // to app nodes
+	Counts
 }
 
+// Counts of calls since the start. Those open are the rest: taken is the sum of all.
+type Counts struct{ Taken, Served, Refused, Failed, Left uint64 }
+
 // PoolView is a pool.
 type PoolView struct {
 	Name    string
@@ -46,6 +50,7 @@
 	Warmth                  float64
 	Out, Idle               int // connections
 	LastAnswer, LastFailure time.Duration
+	Sight                   brain.ServerSight // the module's, of the first of its pools
 }
 
 // effective is how an app node counts: what the list says, and on top of it what operators want.
@@ -111,7 +116,7 @@
 
 // look tells what is seen, app nodes from an id on.
 func (r *Reducer) look(from string) View {
-	v := View{Total: len(r.ordered), Calls: len(r.calls), Conns: len(r.conns)}
+	v := View{Total: len(r.ordered), Calls: len(r.calls), Conns: len(r.conns), Counts: r.counts}
 	for _, p := range r.targets {
 		v.Pools = append(v.Pools, PoolView{Name: p.Name, Members: p.ready, Open: p.open, Cap: r.cap(p)})
 	}
@@ -140,6 +145,11 @@
 	for i, p := range r.pools {
 		if p != nil && s.pools&(1<<i) != 0 {
 			n.Pools = append(n.Pools, p.Name)
+			if d, ok := p.node.(interface {
+				Sight(string) brain.ServerSight
+			}); ok && !n.Sight.Known {
+				n.Sight = d.Sight(s.id)
+			}
 		}
 	}
 	return n
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -351,6 +351,7 @@
 	wants           []bool        // by source: it has been asked for its whole list
 	rosterAt        time.Duration // when the roster's next moment is armed for; 0: none is
 
+	counts  Counts
 	wishes  map[string]wish // by app node
 	caps    map[string]int  // by pool
 	epoch   uint64
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -379,6 +379,9 @@
 				t.Fatalf("call %d was never answered", id)
 			}
 		}
+		if c := w.r.counts; c.Taken != c.Served+c.Refused+c.Failed+c.Left || c.Taken != uint64(len(w.calls)) {
+			t.Fatalf("the counts do not add up: %+v of %d", c, len(w.calls))
+		}
 		if w.r.Open() != 0 || len(w.in(busy))+len(w.in(flowing)) != 0 || len(w.r.byClient) != 0 {
 			t.Fatalf("left behind: %d calls, busy connections %v, flowing %v", w.r.Open(), w.in(busy), w.in(flowing))
 		}
