--- /dev/null
+++ b/cmd/rudderctl/rig_test.go
@@ -0,0 +1,364 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/x/vt"
+	"github.com/creack/pty"
+
+	"pewterrudder/internal/boxclient"
+	"pewterrudder/internal/boxd"
+	"pewterrudder/internal/boxd/boxapi"
+	"pewterrudder/internal/control"
+)
+
+// The tests of this program run the program: the test's own binary, started anew.
+func TestMain(m *testing.M) {
+	if os.Getenv("BE_RUDDERCTL") != "" {
+		os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+const longAgo = 30 * time.Second // bounds a wait that should not be one
+
+// yard is a box of six nodes in two pools that calls nobody, with the disk under it.
+type yard struct {
+	mu      sync.Mutex
+	kept    [][]byte
+	changes map[string]control.Change // in force, by node or pool
+	keptOne func()                    // once, between the disk's word and the answer
+}
+
+var fleet = []struct{ node, pool string }{{"n1", "main"}, {"n2", "main"}, {"n3", "main"}, {"n4", "main"}, {"n5", "main"}, {"n6", "small"}}
+
+func (y *yard) Status() boxapi.Status {
+	return boxapi.Status{Name: "yard", Version: "test", Ready: true, Pools: 2, Nodes: len(fleet), Up: time.Hour}
+}
+
+func (y *yard) Pools() []boxapi.Pool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return []boxapi.Pool{{Name: "main", Members: 5, Cap: y.changes["main"].Cap}, {Name: "small", Members: 1, Cap: y.changes["small"].Cap}}
+}
+
+func (y *yard) Nodes() (out []boxapi.Node) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for _, f := range fleet {
+		c := y.changes[f.node]
+		n := boxapi.Node{ID: f.node, Address: "127.0.0.1:1", Pools: []string{f.pool}, State: boxapi.Serving, Ready: true, RosterWeight: 1,
+			Weight: c.Weight, Drained: c.Drained, Load: 0.25}
+		if c.Drained {
+			n.State = boxapi.Drained
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+func (y *yard) Why(node string) (boxapi.Why, bool) {
+	for _, n := range y.Nodes() {
+		if n.ID == node {
+			return boxapi.Why{Node: node, State: n.State, Works: n.State.Works(), Reasons: []boxapi.Reason{{Kind: string(n.State), Text: "that is so"}}}, true
+		}
+	}
+	return boxapi.Why{}, false
+}
+
+func (y *yard) Roster() boxapi.Roster {
+	return boxapi.Roster{Sources: []boxapi.Source{{Name: "discovery"}}, Entries: []boxapi.Entry{{ID: "n1"}}}
+}
+
+func (y *yard) Apply(all []control.Change) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for _, c := range all {
+		y.changes[c.Node+c.Pool] = c
+	}
+}
+
+func (y *yard) Keep(revision uint64, b []byte) error {
+	y.mu.Lock()
+	hook := y.keptOne
+	y.kept, y.keptOne = append(y.kept, b), nil
+	y.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	return nil
+}
+
+// rig is a yard with its service, which can die and start anew.
+type rig struct {
+	*yard
+	folder string
+	ask    *boxclient.Client
+
+	life    sync.Mutex
+	service *boxd.Service
+	served  chan struct{}
+	gone    bool
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "ctl") // t.TempDir has the test's name in it, too long for a socket's path
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{yard: &yard{}, folder: folder}
+	r.ask = boxclient.New(filepath.Join(folder, boxapi.SocketName), longAgo)
+	if err := r.start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.life.Lock()
+		defer r.life.Unlock()
+		r.gone = true
+		r.end()
+		os.RemoveAll(folder)
+	})
+	return r
+}
+
+func (r *rig) start() error {
+	r.life.Lock()
+	defer r.life.Unlock()
+	if r.gone {
+		return nil
+	}
+	state := control.New()
+	r.mu.Lock()
+	r.changes = map[string]control.Change{}
+	for _, b := range r.kept {
+		var record control.Record
+		if err := json.Unmarshal(b, &record); err != nil {
+			return err
+		}
+		if _, err := state.Commit(record); err != nil {
+			return err
+		}
+	}
+	r.mu.Unlock()
+	l, err := boxd.Listen(r.folder)
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	r.service = boxd.New(boxd.Setup{Box: r.yard, State: state, Store: r.yard, Now: func() control.Now {
+		return control.Now{Wall: time.Now(), Mono: time.Since(begin), Boot: begin.String()}
+	}})
+	service, served := r.service, make(chan struct{})
+	r.served = served
+	go func() { service.Serve(l); close(served) }()
+	return nil
+}
+
+func (r *rig) end() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // connections break at once
+	r.service.Close(ctx)
+	<-r.served
+}
+
+// dies breaks every connection and starts the box anew from its disk, on a goroutine of its own.
+func (r *rig) dies(t *testing.T, done chan<- struct{}) {
+	r.life.Lock()
+	r.service.Break()
+	r.life.Unlock()
+	go func() {
+		defer close(done)
+		r.life.Lock()
+		r.end()
+		r.life.Unlock()
+		if err := r.start(); err != nil {
+			t.Error(err)
+		}
+	}()
+}
+
+// state is all that is wanted, as one line a key, and what is in force of it.
+func (r *rig) state(t *testing.T) string {
+	t.Helper()
+	w, err := r.ask.Wants(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	for _, one := range w.All {
+		fmt.Fprintf(&b, "%s", one.What)
+		if !one.Until.IsZero() {
+			b.WriteString(" for a time")
+		}
+		b.WriteByte('\n')
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range fleet {
+		if c := r.changes[f.node]; c.Drained || c.Weight > 0 {
+			fmt.Fprintln(&b, "in force:", c)
+		}
+	}
+	for _, p := range []string{"main", "small"} {
+		if c := r.changes[p]; c.Cap > 0 {
+			fmt.Fprintln(&b, "in force:", c)
+		}
+	}
+	return b.String()
+}
+
+// wanted says whether an operation is in force, to stay.
+func (r *rig) wanted(t *testing.T, key, what string) bool {
+	t.Helper()
+	w, err := r.ask.Wants(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, ok := w.Find(control.Key(key))
+	if what == "" {
+		return !ok
+	}
+	return ok && one.What.String() == what && one.Until.IsZero()
+}
+
+func (r *rig) command(args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(slices.DeleteFunc(os.Environ(), func(s string) bool { return strings.HasPrefix(s, "TERM=") }),
+		"BE_RUDDERCTL=1", "RUDDER_SOCKET="+r.folder, "TERM=vt100", "TZ=UTC")
+	return cmd
+}
+
+// ctl runs a command without a terminal, and gives its output and status.
+func (r *rig) ctl(t *testing.T, args ...string) (out, errs string, status int) {
+	t.Helper()
+	cmd := r.command(args...)
+	var o, e bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &o, &e
+	err := cmd.Run()
+	if _, ok := err.(*exec.ExitError); err != nil && !ok {
+		t.Fatal(err)
+	}
+	return o.String(), e.String(), cmd.ProcessState.ExitCode()
+}
+
+// terminal is a pseudo-terminal of 80 by 24 with a command on it, and what its screen shows.
+type terminal struct {
+	t    *testing.T
+	file *os.File
+	cmd  *exec.Cmd
+
+	mu    sync.Mutex
+	more  *sync.Cond
+	glass *vt.Emulator
+	raw   []byte
+	over  bool
+	ended chan struct{}
+}
+
+func (r *rig) terminal(t *testing.T, args ...string) *terminal {
+	t.Helper()
+	s := &terminal{t: t, cmd: r.command(args...), glass: vt.NewEmulator(80, 24), ended: make(chan struct{})}
+	s.more = sync.NewCond(&s.mu)
+	var err error
+	if s.file, err = pty.StartWithSize(s.cmd, &pty.Winsize{Rows: 24, Cols: 80}); err != nil {
+		t.Fatal(err)
+	}
+	go io.Copy(s.file, s.glass) // what the terminal answers to questions
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		b := make([]byte, 4096)
+		for {
+			n, err := s.file.Read(b)
+			s.mu.Lock()
+			s.glass.Write(b[:n])
+			s.raw = append(s.raw, b[:n]...)
+			s.more.Broadcast()
+			s.mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	go func() {
+		<-read // the far end is closed, by us or by its end
+		s.cmd.Wait()
+		s.mu.Lock()
+		s.over = true
+		s.more.Broadcast()
+		s.mu.Unlock()
+		close(s.ended)
+	}()
+	t.Cleanup(s.kill)
+	return s
+}
+
+// sees waits until the screen shows a text; false: the program has ended without.
+func (s *terminal) sees(text string) bool {
+	s.t.Helper()
+	late := time.AfterFunc(longAgo, func() { s.mu.Lock(); s.over = true; s.more.Broadcast(); s.mu.Unlock() })
+	defer late.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for !strings.Contains(s.glass.String(), text) {
+		if s.over {
+			return false
+		}
+		s.more.Wait()
+	}
+	return true
+}
+
+// must is sees, where nothing has been cut off.
+func (s *terminal) must(text string) {
+	s.t.Helper()
+	if !s.sees(text) {
+		s.t.Fatalf("%q never came; the screen:\n%s", text, s.screen())
+	}
+}
+
+func (s *terminal) screen() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.glass.String()
+}
+
+func (s *terminal) types(keys string) { io.WriteString(s.file, keys) }
+
+// status waits for the program's end.
+func (s *terminal) status() int {
+	s.t.Helper()
+	select {
+	case <-s.ended:
+	case <-time.After(longAgo):
+		s.t.Fatalf("it does not end; the screen:\n%s", s.screen())
+	}
+	return s.cmd.ProcessState.ExitCode()
+}
+
+// kill is kill -9.
+func (s *terminal) kill() {
+	s.cmd.Process.Signal(syscall.SIGKILL)
+	<-s.ended
+	s.hangUp()
+}
+
+// hangUp takes the line away: the program gets SIGHUP, and its reads end.
+func (s *terminal) hangUp() {
+	s.file.Close()
+	s.glass.Close()
+}
--- a/internal/boxd/service.go
+++ b/internal/boxd/service.go
@@ -290,3 +290,6 @@
 		}
 	}
 }
+
+// Break ends every connection at once, answered or not, as a box that is killed does. Close must follow.
+func (s *Service) Break() { s.http.Close() }
