--- a/internal/control/cases_test.go
+++ b/internal/control/cases_test.go
@@ -68,6 +68,9 @@
 			}
 			all, changes = append(all, r), append(changes, cs...)
 		}
+		if len(all) > 10000 {
+			return nil, nil, 0, fmt.Errorf("more and more is due, %v at last", &all[len(all)-1])
+		}
 	}
 }
 
@@ -216,6 +219,9 @@
 				}
 				for _, r := range all {
 					fmt.Fprintf(&out, "%s\n", &r)
+					if len(r.Empties) > 0 {
+						fmt.Fprintf(&out, "  without a ready node: %s\n", strings.Join(r.Empties, " "))
+					}
 				}
 				if next >= 0 {
 					fmt.Fprintf(&out, "looks again in %v\n", next)
