--- a/cmd/pewterrudder/box.go
+++ b/cmd/pewterrudder/box.go
@@ -59,8 +59,13 @@
 	return k.Append(store.Record{Revision: revision, Data: record})
 }
 
-// schema of what the store holds.
-const schema = 1
+const (
+	schema = 1 // of what the store holds
+	// compactAt is how many records a start replays at the most; with more it leaves a snapshot in their place.
+	compactAt = 2000
+	// historyMost is what stays of the history then, with the ids that are made once: months of a shift's edits.
+	historyMost = 10000
+)
 
 // operate opens the state folder that the settings file names, puts what operators want in force, and serves them. Without
 // a folder there is nothing to operate: nil. The reducer must be running.
@@ -129,6 +134,16 @@
 			return nil, fmt.Errorf("revision %d: %w", kept.Revision, err)
 		}
 	}
+	if len(held.Records) > compactAt {
+		state.Trim(historyMost)
+		brief, err := state.Snapshot()
+		if err == nil {
+			err = o.store.Compact(store.Record{Revision: state.Revision(), Data: brief}, state.Revision()+1)
+		}
+		if err != nil {
+			log.Printf("box: %v; all records stay", err) // the next start tries again
+		}
+	}
 	return state, nil
 }
 
--- a/cmd/pewterrudder/box_test.go
+++ b/cmd/pewterrudder/box_test.go
@@ -19,6 +19,7 @@
 	"pewterrudder/internal/boxd/boxapi"
 	"pewterrudder/internal/control"
 	"pewterrudder/internal/lab/kvd"
+	"pewterrudder/internal/store"
 )
 
 // desk asks a box at its socket.
@@ -149,3 +150,53 @@
 	s.until("a timed drain has ended", func(got string) bool { return got == "200 b" })
 	s.end()
 }
+
+// A folder with thousands of edits is brought to a snapshot by a start, which reads the same from it as from the records.
+func TestAStartLeavesASnapshot(t *testing.T) {
+	folder := t.TempDir()
+	o := &operations{}
+	open := func() *control.State {
+		t.Helper()
+		var err error
+		if o.store, err = store.Open(folder, store.Options{Schema: schema}); err != nil {
+			t.Fatal(err)
+		}
+		state, err := o.load()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return state
+	}
+	state := open()
+	var records []store.Record
+	for i := range compactAt + 1 {
+		r, err := state.Propose(control.Now{Wall: time.Unix(int64(i), 0), Mono: time.Duration(i) * time.Second, Boot: "b"},
+			control.Edit{ID: fmt.Sprint(i), By: "ann", What: control.Weight{Node: fmt.Sprint("n", i%50), Weight: 1 + float64(i%7)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := state.Commit(r); err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, store.Record{Revision: r.Revision, Data: raw})
+	}
+	if err := o.store.Append(records...); err != nil {
+		t.Fatal(err)
+	}
+	o.store.Close()
+	for range 2 { // from the records, then from the snapshot
+		read := open()
+		if got, want := fmt.Sprint(read.Want(), read.Changes()), fmt.Sprint(state.Want(), state.Changes()); got != want {
+			t.Errorf("%.300s, not %.300s", got, want)
+		}
+		held, err := o.store.Load()
+		if err != nil || held.Snapshot == nil || held.Snapshot.Revision != compactAt+1 || len(held.Records) != 0 {
+			t.Errorf("%d records, %v", len(held.Records), err)
+		}
+		o.store.Close()
+	}
+}
