Refuse a revision that leaves one out, and show a box in the demo

make demo shows a box: a rudderctl line drains an app node of it from a second terminal. status gives its rate at the first look, roster says who lists an entry.

--- a/cmd/pewterrudder/box.go
+++ b/cmd/pewterrudder/box.go
@@ -189,10 +189,11 @@
 func (b *box) perSecond(taken uint64) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.at == 0 {
+		b.at = b.begin // the first look back goes that far
+	}
 	if d := b.now() - b.at; d >= time.Second {
-		if b.at > 0 {
-			b.rate = float64(taken-b.taken) / d.Seconds()
-		}
+		b.rate = float64(taken-b.taken) / d.Seconds()
 		b.taken, b.at = taken, b.now()
 	}
 	return b.rate
@@ -314,7 +315,8 @@
 				Standing: s.Standing.String(), Age: s.Age, Entries: s.Entries, Why: s.Why})
 		}
 		for _, e := range m.Entries() {
-			out.Entries = append(out.Entries, boxapi.Entry{ID: e.ID, Address: e.Address, Zone: e.Zone, State: e.State.String(), Weight: e.Weight})
+			out.Entries = append(out.Entries, boxapi.Entry{ID: e.ID, Address: e.Address, Zone: e.Zone, State: e.State.String(), Weight: e.Weight,
+				By: e.By, From: e.From})
 		}
 	}})
 	<-done
@@ -323,6 +325,7 @@
 		out.Sources = []boxapi.Source{{Name: config.Discovery, Role: "primary", Health: "fresh", Standing: "decides", Entries: v.Total}}
 		for _, n := range v.Nodes {
 			out.Entries = append(out.Entries, boxapi.Entry{ID: n.ID, Address: n.Address, Zone: n.Zone, Weight: n.Weight,
+				By: []string{config.Discovery}, From: config.Discovery,
 				State: [...]string{brain.Ready: "up", brain.Draining: "draining", brain.Gone: "gone"}[n.Told]})
 		}
 	}
--- a/cmd/pewterrudder/box_test.go
+++ b/cmd/pewterrudder/box_test.go
@@ -134,7 +134,8 @@
 		t.Errorf("the last one: %d %+v", got, flaw)
 	}
 	var roster boxapi.Roster
-	if d.ask("GET", boxapi.PathRoster, nil, &roster); len(roster.Sources) != 1 || len(roster.Entries) != 2 {
+	if d.ask("GET", boxapi.PathRoster, nil, &roster); len(roster.Sources) != 1 || len(roster.Entries) != 2 ||
+		roster.Entries[0].From != roster.Sources[0].Name {
 		t.Errorf("%+v", roster)
 	}
 	s.kill()
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -66,11 +66,16 @@
 	if !opt.Plain && isTerminal(opt.Out) {
 		show = newPage(opt.Out, opt.Colour)
 	}
+	state, err := os.MkdirTemp("", "box") // of the box; a socket's path is short
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(state)
 	keys, restore := readKeys(opt.In)
 	defer restore()
 	inner, kill := context.WithCancel(context.Background())
 	defer kill()
-	d := &demo{show: show, views: make(chan *view, 1)}
+	d := &demo{state: state, show: show, views: make(chan *view, 1)}
 	begun := make(chan *sockets.Live, 1)
 	type end struct {
 		rec *sockets.Record
@@ -79,7 +84,8 @@
 	ended := make(chan end, 1)
 	go func() {
 		rec, err := sockets.Run(inner, sc, sockets.Options{Seed: opt.Seed, Balancer: opt.Balancer, Recorder: d,
-			Sample: pageEvery, Forever: true, Strangers: true, Live: func(l *sockets.Live) {
+			Sample: pageEvery, Forever: true, Strangers: true,
+			Sections: map[string]any{"box": map[string]any{"state": state}}, Live: func(l *sockets.Live) {
 				d.live = l
 				l.Do(func(w *world.World) { d.world = w })
 				begun <- l
@@ -138,6 +144,7 @@
 
 // demo gathers the figures. All but views belongs to the clock's goroutine.
 type demo struct {
+	state  string // the balancer's folder
 	show   display
 	live   *sockets.Live
 	world  *world.World
@@ -173,6 +180,7 @@
 	slowed   bool
 	slowID   string
 	curl     []string
+	operate  string // a command
 }
 
 type nodeView struct {
@@ -200,7 +208,8 @@
 	}
 	d.recent = append(d.recent[:0], d.recent[old:]...)
 	v := &view{at: s.At, began: s.At > world.Lead, address: d.live.Address(0), pid: d.live.PID(0), ends: d.ends,
-		slowed: d.slowed, curl: curl(d.live.Address(0))}
+		slowed: d.slowed, curl: curl(d.live.Address(0)),
+		operate: operate(d.state, d.world.Nodes[len(d.world.Nodes)-1].ID)}
 	var took []time.Duration
 	for _, o := range d.recent {
 		if o.how == world.Served {
@@ -276,3 +285,6 @@
 	draw(v *view)
 	end()
 }
+
+// operate is a command that drains an app node of the demo's.
+func operate(state, node string) string { return "bin/rudderctl --socket " + state + " drain " + node }
--- a/internal/lab/demo/demo_test.go
+++ b/internal/lab/demo/demo_test.go
@@ -18,7 +18,7 @@
 func TestThePageFitsAndNeedsNoColours(t *testing.T) {
 	v := &view{at: 3 * time.Hour, began: true, address: "127.101.0.1:65535", pid: 4194304, rate: 9999, served: 0.5,
 		p50: time.Second, p90: time.Second, p99: 2 * time.Second, slowed: true, slowID: "s-00000000",
-		curl: curl("127.101.0.1:65535")}
+		curl: curl("127.101.0.1:65535"), operate: operate("/tmp/box1234567890", "s-00000000")}
 	for i := range v.ends {
 		v.ends[i] = 1e6
 	}
--- a/internal/lab/demo/page.go
+++ b/internal/lab/demo/page.go
@@ -102,6 +102,7 @@
 	for _, line := range v.curl {
 		lines = append(lines, "  "+line)
 	}
+	lines = append(lines, "", "Drain an app node (restore brings it back):", "  "+v.operate)
 	return append(lines, "", "README.md says how to run one; rudderlab list names days to try.")
 }
 
@@ -133,8 +134,8 @@
 func (p *plain) draw(v *view) {
 	if !p.told && v.pid != 0 {
 		p.told = true
-		fmt.Fprintf(p.out, "balancer %s, process %d; ask it yourself:\n%s\n", v.address, v.pid,
-			strings.ReplaceAll(strings.Join(v.curl, " "), "\\      ", ""))
+		fmt.Fprintf(p.out, "balancer %s, process %d; ask it yourself:\n%s\nand drain an app node of it:\n%s\n", v.address, v.pid,
+			strings.ReplaceAll(strings.Join(v.curl, " "), "\\      ", ""), v.operate)
 	}
 	if v.at < p.last+time.Second || !v.began {
 		return
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -90,7 +90,8 @@
 		t.Fatalf("%v", got)
 	}
 	refused(t, s.Append(sample(3001, 3001)...), "revision 3001 comes after revision 3001")
-	must(t, s.Append(sample(3005, 3005)...))
+	refused(t, s.Append(sample(3003, 3003)...), "revision 3003 comes after revision 3001")
+	must(t, s.Append(sample(3002, 3002)...))
 }
 
 // Whoever reads slowly, or edits while reading, holds up nobody.
@@ -359,7 +360,7 @@
 		} else if !reflect.DeepEqual(got, want) {
 			t.Fatalf("%s: other contents, up to %d; said %s", what, got.Last(), said.String())
 		}
-		must(t, s.Append(sample(2000, 2000)...))
+		must(t, s.Append(sample(got.Last()+1, got.Last()+1)...))
 		must(t, s.Close())
 		os.RemoveAll(dir)
 	}
--- a/internal/store/workload_test.go
+++ b/internal/store/workload_test.go
@@ -202,6 +202,7 @@
 	sure    []edit   // answered, or seen
 	flight  [][]edit // asked, not answered
 	doubted [][]edit // answered as in doubt, since the last that was taken
+	beside  int      // how many of those in flight were so at the last doubt: they may have been written together with it
 }
 
 func (t *told) hear(line string) error {
@@ -222,11 +223,11 @@
 		if len(t.flight) == 0 || !slices.Equal(t.flight[0], g) {
 			return fmt.Errorf("%v was answered, which was not the next", g)
 		}
-		t.flight = t.flight[1:]
+		t.flight, t.beside = t.flight[1:], max(0, t.beside-1)
 		if what == "yes" {
-			t.sure, t.doubted = append(t.sure, g...), nil
+			t.sure, t.doubted, t.beside = append(t.sure, g...), nil, 0
 		} else if what == "doubt" {
-			t.doubted = append(t.doubted, g)
+			t.doubted, t.beside = append(t.doubted, g), len(t.flight)
 		}
 	default:
 		return fmt.Errorf("%q was said", line)
@@ -246,7 +247,7 @@
 		return nil
 	}
 	for i := range t.doubted { // one doubted is taken back before the next is written, unless they were written together
-		if startOf(more, t.doubted[i:]) {
+		if startOf(more, slices.Concat(t.doubted[i:], t.flight[:t.beside])) {
 			return nil
 		}
 	}
@@ -268,7 +269,7 @@
 func tail(all []edit) []edit { return all[max(0, len(all)-3):] }
 
 func (t *told) copy() *told {
-	return &told{slices.Clone(t.sure), slices.Clone(t.flight), slices.Clone(t.doubted)}
+	return &told{slices.Clone(t.sure), slices.Clone(t.flight), slices.Clone(t.doubted), t.beside}
 }
 
 // room is a folder in memory where there is such, as thousands of images are written that nobody needs on a disk.
