--- a/cmd/pewterrudder/box.go
+++ b/cmd/pewterrudder/box.go
@@ -59,8 +59,13 @@
 	return k.Append(store.Record{Revision: revision, Data: record})
 }
 
-// schema of what the store holds.
-const schema = 1
+const (
+	schema = 1 // of what the store holds
+	// compactAt is how many records a start replays at the most; with more it leaves a snapshot in their place.
+	compactAt = 2000
+	// historyMost is what stays of the history then, with the ids that are made once: months of a shift's edits.
+	historyMost = 10000
+)
 
 // operate opens the state folder that the settings file names, puts what operators want in force, and serves them. Without
 // a folder there is nothing to operate: nil. The reducer must be running.
@@ -129,6 +134,16 @@
 			return nil, fmt.Errorf("revision %d: %w", kept.Revision, err)
 		}
 	}
+	if len(held.Records) > compactAt {
+		state.Trim(historyMost)
+		brief, err := state.Snapshot()
+		if err == nil {
+			err = o.store.Compact(store.Record{Revision: state.Revision(), Data: brief}, state.Revision()+1)
+		}
+		if err != nil {
+			log.Printf("box: %v; all records stay", err) // the next start tries again
+		}
+	}
 	return state, nil
 }
 
@@ -174,10 +189,11 @@
 func (b *box) perSecond(taken uint64) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.at == 0 {
+		b.at = b.begin // the first look back goes that far
+	}
 	if d := b.now() - b.at; d >= time.Second {
-		if b.at > 0 {
-			b.rate = float64(taken-b.taken) / d.Seconds()
-		}
+		b.rate = float64(taken-b.taken) / d.Seconds()
 		b.taken, b.at = taken, b.now()
 	}
 	return b.rate
@@ -299,7 +315,8 @@
 				Standing: s.Standing.String(), Age: s.Age, Entries: s.Entries, Why: s.Why})
 		}
 		for _, e := range m.Entries() {
-			out.Entries = append(out.Entries, boxapi.Entry{ID: e.ID, Address: e.Address, Zone: e.Zone, State: e.State.String(), Weight: e.Weight})
+			out.Entries = append(out.Entries, boxapi.Entry{ID: e.ID, Address: e.Address, Zone: e.Zone, State: e.State.String(), Weight: e.Weight,
+				By: e.By, From: e.From})
 		}
 	}})
 	<-done
@@ -308,6 +325,7 @@
 		out.Sources = []boxapi.Source{{Name: config.Discovery, Role: "primary", Health: "fresh", Standing: "decides", Entries: v.Total}}
 		for _, n := range v.Nodes {
 			out.Entries = append(out.Entries, boxapi.Entry{ID: n.ID, Address: n.Address, Zone: n.Zone, Weight: n.Weight,
+				By: []string{config.Discovery}, From: config.Discovery,
 				State: [...]string{brain.Ready: "up", brain.Draining: "draining", brain.Gone: "gone"}[n.Told]})
 		}
 	}
