--- a/cmd/rudderctl/rig_test.go
+++ b/cmd/rudderctl/rig_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/charmbracelet/x/vt"
 	"github.com/creack/pty"
+	"golang.org/x/sys/unix"
 
 	"pewterrudder/internal/boxclient"
 	"pewterrudder/internal/boxd"
@@ -273,10 +274,20 @@
 	t.Helper()
 	s := &terminal{t: t, cmd: r.command(args...), glass: vt.NewEmulator(80, 24), ended: make(chan struct{})}
 	s.more = sync.NewCond(&s.mu)
-	var err error
-	if s.file, err = pty.StartWithSize(s.cmd, &pty.Winsize{Rows: 24, Cols: 80}); err != nil {
+	line, err := pty.StartWithSize(s.cmd, &pty.Winsize{Rows: 24, Cols: 80})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A descriptor that blocks stays open while it is read, and the line would not hang up when we do.
+	own, err := unix.Dup(int(line.Fd()))
+	if err == nil {
+		err = unix.SetNonblock(own, true)
+	}
+	if err != nil {
 		t.Fatal(err)
 	}
+	line.Close()
+	s.file = os.NewFile(uintptr(own), "line")
 	go io.Copy(s.file, s.glass) // what the terminal answers to questions
 	read := make(chan struct{})
 	go func() {
@@ -310,14 +321,18 @@
 // sees waits until the screen shows a text; false: the program has ended without.
 func (s *terminal) sees(text string) bool {
 	s.t.Helper()
-	late := time.AfterFunc(longAgo, func() { s.mu.Lock(); s.over = true; s.more.Broadcast(); s.mu.Unlock() })
-	defer late.Stop()
+	late := false
+	wake := time.AfterFunc(longAgo, func() { s.mu.Lock(); late = true; s.more.Broadcast(); s.mu.Unlock() })
+	defer wake.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for !strings.Contains(s.glass.String(), text) {
 		if s.over {
 			return false
 		}
+		if late {
+			s.t.Fatalf("%q never came; the screen:\n%s\nand all that was written:\n%q", text, s.glass.String(), s.raw)
+		}
 		s.more.Wait()
 	}
 	return true
--- a/cmd/rudderctl/session_test.go
+++ b/cmd/rudderctl/session_test.go
@@ -52,32 +52,34 @@
 	return true
 }
 
-// on plays a line of "what must be seen", "what is typed then" on a terminal, until it breaks off.
-func (c *cut) on(t *testing.T, r *rig, args []string, script ...string) {
+// on plays a line of "what must be seen", "what is typed then" on a terminal, until it breaks off; whole says that it did not.
+func (c *cut) on(t *testing.T, r *rig, args []string, script ...string) (whole bool) {
 	t.Helper()
 	s := r.terminal(t, args...)
 	defer s.kill()
 	for i := 0; i < len(script); i += 2 {
 		if c.moment(t, s) {
-			return
+			return false
 		}
 		if !s.sees(script[i]) {
 			if c.at < 0 {
 				t.Fatalf("%q: %q never came; the screen:\n%s", args, script[i], s.screen())
 			}
-			return // taken up again by a look at the box
+			return false // taken up again by a look at the box
 		}
 		if c.moment(t, s) {
-			return
+			return false
 		}
 		s.types(script[i+1])
 	}
 	if c.moment(t, s) {
-		return
+		return false
 	}
-	if status := s.status(); status != 0 && c.at < 0 {
+	status := s.status()
+	if status != 0 && c.at < 0 {
 		t.Fatalf("%q: status %d; the screen:\n%s", args, status, s.screen())
 	}
+	return status == 0
 }
 
 func drainedFirst(t *testing.T, r *rig) (revision string) {
@@ -107,8 +109,9 @@
 			func(t *testing.T, r *rig, c *cut) { c.on(t, r, []string{"set", "weight", "n3", "0.5"}) }},
 		{"a trial that is kept", func(t *testing.T, r *rig) bool { return r.wanted(t, "drain n4", "drain n4") },
 			func(t *testing.T, r *rig, c *cut) {
-				if r.wanted(t, "drain n4", "") {
-					c.on(t, r, []string{"console"}, "> n1", down+down+down, "> n4", "t", "drain n4 on trial", "y", "done: drain n4", "q")
+				if r.wanted(t, "drain n4", "") && !c.on(t, r, []string{"console"},
+					"> n1", down+down+down, "> n4", "t", "drain n4 on trial", "y", "done: drain n4", "q") {
+					return
 				}
 				c.on(t, r, []string{"console"}, "> n1", down+down+down, "> n4", "c", "confirm: drain n4", "y", "done: confirm drain n4", "q")
 			}},
@@ -189,6 +192,6 @@
 	random := rand.New(rand.NewPCG(*cutSeed, 0))
 	for i := range *cutRuns {
 		c := &cut{at: random.IntN(moments), way: ways[i%len(ways)]}
-		t.Run(fmt.Sprintf("%03d-%s-%d", i, strings.ReplaceAll(c.way, " ", "-"), c.at), func(t *testing.T) { play(t, c) })
+		t.Run(fmt.Sprintf("%03d-%s-%d", i, strings.ReplaceAll(c.way, " ", "-"), c.at), func(t *testing.T) { t.Parallel(); play(t, c) })
 	}
 }
