Look only at nodes whose word has changed when a drain is judged

Need: a drain asks first whether a pool keeps a ready node, and with 10,000 nodes that look took most of the edit.

--- a/internal/boxd/boxd_test.go
+++ b/internal/boxd/boxd_test.go
@@ -22,6 +22,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pewterrudder/internal/boxclient"
 	"pewterrudder/internal/boxd/boxapi"
 	"pewterrudder/internal/control"
@@ -39,6 +41,8 @@
 	keptOne func()        // between the disk's word and the answer
 	clock   control.Now
 	texts   []string
+	told    chan string
+	many    []boxapi.Node
 }
 
 func (f *fake) Status() boxapi.Status {
@@ -49,6 +53,9 @@
 func (f *fake) Nodes() (out []boxapi.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.many != nil {
+		return f.many
+	}
 	for _, id := range []string{"n1", "n2", "n3"} {
 		n := boxapi.Node{ID: id, Pools: []string{"main"}, State: boxapi.Serving, Ready: id != "n3", Drained: f.drained[id]}
 		out = append(out, n)
@@ -96,7 +103,7 @@
 }
 
 // begin is a state of all that the disk holds.
-func (f *fake) begin(t *testing.T) *control.State {
+func (f *fake) begin(t testing.TB) *control.State {
 	s := control.New()
 	for _, b := range f.kept {
 		var r control.Record
@@ -118,14 +125,14 @@
 	stop    func()
 }
 
-func newRig(t *testing.T, bounds Bounds) *rig {
+func newRig(t testing.TB, bounds Bounds) *rig {
 	t.Helper()
 	folder, err := os.MkdirTemp("", "box") // t.TempDir has the test's name in it, too long for a socket's path
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { os.RemoveAll(folder) })
-	r := &rig{folder: folder, fake: &fake{drained: map[string]bool{}, stalled: make(chan struct{}, 16),
+	r := &rig{folder: folder, fake: &fake{drained: map[string]bool{}, stalled: make(chan struct{}, 16), told: make(chan string, 16),
 		clock: control.Now{Wall: time.Date(2026, 3, 1, 22, 0, 0, 0, time.UTC), Mono: time.Hour, Boot: "one"}}}
 	r.start(t, bounds)
 	r.ask = boxclient.New(filepath.Join(folder, boxapi.SocketName), boxclient.Patience)
@@ -133,14 +140,14 @@
 	return r
 }
 
-func (r *rig) start(t *testing.T, bounds Bounds) {
+func (r *rig) start(t testing.TB, bounds Bounds) {
 	t.Helper()
 	l, err := Listen(r.folder)
 	if err != nil {
 		t.Fatal(err)
 	}
 	service := New(Setup{Box: r.fake, State: r.begin(t), Store: r.fake, Now: r.now, Bounds: bounds,
-		Log: func(s string) { r.set(func() { r.texts = append(r.texts, s) }) }})
+		Log: func(s string) { r.set(func() { r.texts = append(r.texts, s) }); r.told <- s }})
 	served := make(chan error, 1)
 	go func() { served <- service.Serve(l) }()
 	r.service = service
@@ -158,7 +165,7 @@
 
 var background = context.Background()
 
-func (r *rig) edit(t *testing.T, id string, against uint64, what control.Op) control.Record {
+func (r *rig) edit(t testing.TB, id string, against uint64, what control.Op) control.Record {
 	t.Helper()
 	got, err := r.ask.Edit(background, control.Edit{ID: id, Against: against, What: what})
 	if err != nil {
@@ -264,6 +271,16 @@
 	if flaw := flawOf(t, err, string(control.Last)); flaw.Pool != "main" {
 		t.Errorf("%+v", flaw)
 	}
+	// n1's drain is no matter once it is not listed, and n3's word changes.
+	r.set(func() {
+		r.many = []boxapi.Node{{ID: "n2", Pools: []string{"main"}, Ready: true}, {ID: "n3", Pools: []string{"main"}, Ready: true}}
+	})
+	if _, err := r.ask.Edit(background, control.Edit{ID: "e3", What: control.Drain{Node: "n3"}}); err != nil {
+		t.Error(err)
+	}
+	r.set(func() { r.many = r.many[:1] }) // n3 goes; n2 is the last again
+	_, err = r.ask.Edit(background, last)
+	flawOf(t, err, string(control.Last))
 	last.Force = true
 	if _, err := r.ask.Edit(background, last); err != nil || !r.drained["n2"] {
 		t.Error(err)
@@ -434,6 +451,7 @@
 		{"GET", boxapi.PathWhy + "zz", "", "", 404},
 		{"GET", "/v2/nodes", "", "", 404},
 		{"POST", boxapi.PathUndo, "", `{"id":"u","revision":1}`, 422},
+		{"POST", boxapi.PathUndo, "", `{"id":"u","revision":1,"wat":1}`, 400},
 		{"POST", boxapi.PathConfirm, "", `{"id":"nobody"}`, 422},
 	} {
 		resp := r.raw(t, c.method, c.path, c.match, c.body)
@@ -609,6 +627,40 @@
 	}
 }
 
+// Two that say nothing hold all the room there is; who comes third is answered once one of them has been closed for it.
+func TestConnectionsAreBounded(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, Bounds{Conns: 2, Head: 50 * time.Millisecond})
+	var idle []net.Conn
+	for range 2 {
+		c, err := net.Dial("unix", filepath.Join(r.folder, boxapi.SocketName))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET ")
+		idle = append(idle, c)
+	}
+	if _, err := r.ask.Status(background); err != nil {
+		t.Fatal(err)
+	}
+	closed := 0
+	for _, c := range idle {
+		raw, err := c.(*net.UnixConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) { // a look without waiting: its end, or nothing yet
+			if _, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_DONTWAIT|unix.MSG_PEEK); err != unix.EAGAIN {
+				closed++
+			}
+		})
+	}
+	if closed == 0 {
+		t.Error("a third connection was taken")
+	}
+}
+
 // What operators' programs need must not reach the balancer's.
 func TestTheServiceLinksNoParserAndNoTerminal(t *testing.T) {
 	t.Parallel()
@@ -634,3 +686,37 @@
 		t.Error("rudderctl links a parser, and this test does not see it")
 	}
 }
+
+// What the service adds to an edit's sync: the socket, the judgement and, for a drain, a look at which nodes are ready.
+func BenchmarkEdit(b *testing.B) {
+	for _, nodes := range []int{3, 10_000} {
+		b.Run(fmt.Sprintf("drain-of-%d", nodes), func(b *testing.B) {
+			r := newRig(b, Bounds{})
+			for i := range nodes {
+				r.many = append(r.many, boxapi.Node{ID: fmt.Sprint("n", i), Pools: []string{"main"}, Ready: true})
+			}
+			i := 0
+			for b.Loop() {
+				op := control.Op(control.Drain{Node: "n1"})
+				if i++; i%2 == 0 {
+					op = control.Restore{Node: "n1"}
+				}
+				r.edit(b, fmt.Sprint(i), 0, op)
+			}
+		})
+	}
+}
+
+// A line of the stream that twelve watchers take.
+func BenchmarkSayTo12(b *testing.B) {
+	r := newRig(b, Bounds{})
+	for range 12 {
+		go r.ask.Watch(background, 0, 0, func(boxapi.Happening) error { return nil })
+	}
+	for st := (boxapi.Status{}); st.Watchers < 12; {
+		st, _ = r.ask.Status(background)
+	}
+	for b.Loop() {
+		r.service.Say("info", "a line of the log as long as they are, more or less, on an evening")
+	}
+}
--- a/internal/boxd/service.go
+++ b/internal/boxd/service.go
@@ -11,8 +11,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -97,10 +100,11 @@
 
 	// edits is held for the whole of an edit, its wait for the disk included: one at a time, in the order of the revisions.
 	edits sync.Mutex
-	mu    sync.RWMutex // of State, sick and watchers; never held while the disk or the box is waited for
-	sick  error        // of the store's latest write
-	split error        // a record is durable and does not count: no edit may follow it, until the next start commits it
-	heard map[string]bool
+	mu    sync.RWMutex      // of State, sick and watchers; never held while the disk or the box is waited for
+	sick  error             // of the store's latest write
+	split error             // a record is durable and does not count: no edit may follow it, until the next start commits it
+	heard map[string]uint64 // in which look a node was there
+	looks uint64
 	tried chan struct{} // an edit has been made: the next end may be nearer
 
 	watchers int
@@ -114,15 +118,24 @@
 	if setup.Log == nil {
 		setup.Log = func(string) {}
 	}
-	s := &Service{Setup: setup, hub: newHub(setup.Bounds.Lines), heard: map[string]bool{}, tried: make(chan struct{}, 1),
+	s := &Service{Setup: setup, hub: newHub(setup.Bounds.Lines), heard: map[string]uint64{}, tried: make(chan struct{}, 1),
 		down: make(chan struct{})}
 	s.http = http.Server{Handler: s.routes(), ReadTimeout: setup.Bounds.Head, WriteTimeout: setup.Bounds.Write + storeMost,
-		IdleTimeout: setup.Bounds.Idle, MaxHeaderBytes: headMost, ConnContext: meet}
+		IdleTimeout: setup.Bounds.Idle, MaxHeaderBytes: headMost, ConnContext: meet,
+		ErrorLog: log.New(says(setup.Log), "", 0)}
 	s.Box.Apply(s.State.Changes())
 	s.ended.Go(s.clock)
 	return s
 }
 
+// says hands on what net/http has to say, a fault of ours among it.
+type says func(string)
+
+func (s says) Write(b []byte) (int, error) {
+	s("control socket: " + strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
 const (
 	headMost = 8 << 10
 	// storeMost is how long an answer may take beyond its writing: a disk slower than that answers nobody in time.
@@ -194,20 +207,26 @@
 	return r, nil
 }
 
-// hear tells the state which nodes are ready, before it judges what might take a pool its last one.
+// hear tells the state which nodes are ready, before it judges what might take a pool its last one. Most have not changed
+// since the last time.
 func (s *Service) hear() {
 	nodes := s.Box.Nodes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	gone := s.heard
-	s.heard = make(map[string]bool, len(nodes))
-	for _, n := range nodes {
-		s.State.Hear(n.ID, control.Sight{Pools: n.Pools, Ready: n.Ready, Drained: n.RosterDrains, Weight: n.RosterWeight})
-		s.heard[n.ID] = true
-		delete(gone, n.ID)
+	s.looks++
+	for i := range nodes {
+		n := &nodes[i]
+		s.heard[n.ID] = s.looks
+		had, ok := s.State.See(n.ID)
+		if !ok || had.Ready != n.Ready || had.Drained != n.RosterDrains || had.Weight != n.RosterWeight || !slices.Equal(had.Pools, n.Pools) {
+			s.State.Hear(n.ID, control.Sight{Pools: n.Pools, Ready: n.Ready, Drained: n.RosterDrains, Weight: n.RosterWeight})
+		}
 	}
-	for id := range gone {
-		s.State.Gone(id)
+	for id, look := range s.heard {
+		if look != s.looks {
+			s.State.Gone(id)
+			delete(s.heard, id)
+		}
 	}
 }
 
--- a/internal/boxd/watch.go
+++ b/internal/boxd/watch.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"pewterrudder/internal/control"
 	"sync"
 	"time"
 
 	"pewterrudder/internal/boxd/boxapi"
+	"pewterrudder/internal/control"
 )
 
 // hub keeps the latest lines of the stream of changes. All watchers read the same ring, each at a place of its own, so
@@ -125,7 +125,6 @@
 		}
 		return out.Flush() == nil
 	}
-	out.SetReadDeadline(time.Time{}) // it says nothing more, and may stay
 	w.Header().Set("Content-Type", "application/jsonl")
 	w.Header().Set("ETag", boxapi.Tag(revision))
 	if !send(marshal(boxapi.Happening{Kind: boxapi.Hello, At: s.Now().Wall, Revision: revision})) {
