--- a/cmd/rudderlab/zones.go
+++ b/cmd/rudderlab/zones.go
@@ -38,7 +38,7 @@
 		total += len(parts[i].scenarios) * len(parts[i].policies)
 	}
 	if c.On == "sockets" {
-		return c.sockets(parts[0].scenarios)
+		return c.sockets(parts[0].scenarios, parts[1].scenarios)
 	}
 	b := newBar()
 	var rows []*zonelab.Row
@@ -64,8 +64,8 @@
 	return zonelab.Write(os.Stdout, rows)
 }
 
-// sockets plays each scenario once without zones and once with them, one after the other: each needs the cores.
-func (c *zonesCommand) sockets(scenarios []string) error {
+// sockets plays each scenario once without zones or pools and once with them, one after the other: each needs the cores.
+func (c *zonesCommand) sockets(zones, pools []string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	path, err := besides(c.Balancer)
@@ -73,8 +73,12 @@
 		return err
 	}
 	var rows []*zonelab.Row
-	for _, name := range scenarios {
-		for _, policy := range []string{"no zones", "zones"} {
+	for _, name := range slices.Concat(zones, pools) {
+		policies := []string{"no zones", "zones"}
+		if slices.Contains(pools, name) {
+			policies = zonelab.PoolPolicies
+		}
+		for _, policy := range policies {
 			row, void, err := zonelab.OnSockets(ctx, name, policy, path, 1)
 			if err != nil {
 				return err
--- a/internal/lab/zonelab/pools.go
+++ b/internal/lab/zonelab/pools.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/config"
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
@@ -54,3 +55,45 @@
 	}
 	return of, layout, nil
 }
+
+// ofClass tells the wishes of all but the first pool where classes lead there. What a split leads there hangs, on sockets,
+// on the ids of tries, which a wish does not tell: then there is no telling, and the whole site's figures stand.
+func ofClass(sc *scenario.Scenario) func(*world.Op) bool {
+	var led []bool
+	for _, c := range sc.Classes {
+		led = append(led, false)
+		for _, r := range pools[sc.Name].rules {
+			if r.Class == c.Name && len(r.To) == 1 && r.To[0].Pool != pools[sc.Name].kinds[0] {
+				led[len(led)-1] = true
+			}
+		}
+	}
+	return func(op *world.Op) bool { return led[op.Class] }
+}
+
+// sections are the pools and routes of a scenario as a settings file has them.
+func sections(sc *scenario.Scenario) (map[string]any, error) {
+	p, ok := pools[sc.Name]
+	if !ok {
+		return nil, fmt.Errorf("%s has no pools", sc.Name)
+	}
+	var named []config.Pool
+	for i, kind := range p.kinds {
+		named = append(named, config.Pool{Name: kind, Default: i == 0, Members: config.Members{Kinds: []string{kind}}})
+	}
+	var led []config.Route
+	for _, r := range p.rules {
+		one := config.Route{Class: r.Class}
+		if len(r.To) == 1 {
+			one.Pool = r.To[0].Pool
+		} else {
+			for _, share := range r.To {
+				one.Split = append(one.Split, config.Share{Pool: share.Pool, Weight: share.Weight})
+			}
+		}
+		if one.Class != "" || one.Split != nil { // the rest goes to the default
+			led = append(led, one)
+		}
+	}
+	return map[string]any{"pools": named, "routes": led}, nil
+}
--- a/internal/lab/zonelab/zonelab.go
+++ b/internal/lab/zonelab/zonelab.go
@@ -157,6 +157,13 @@
 			}
 		}
 		opt.Sections = map[string]any{"zones": map[string]any{"names": sc.Zones, "tiers": tiers}}
+	case "one pool":
+		v.lost = ofClass(sc)
+	case "pools":
+		v.lost = ofClass(sc)
+		if opt.Sections, err = sections(sc); err != nil {
+			return nil, "", err
+		}
 	default:
 		return nil, "", fmt.Errorf("%s: sockets have no such policy", policy)
 	}
