--- a/internal/boxd/boxd_test.go
+++ b/internal/boxd/boxd_test.go
@@ -37,7 +37,8 @@
 	kept    [][]byte
 	fail    error
 	stall   chan struct{} // held: the disk waits until it is closed
-	stalled chan struct{} // told when it does
+	slow    chan struct{} // held: so does the box that puts something in force
+	stalled chan struct{} // told when either does
 	keptOne func()        // between the disk's word and the answer
 	clock   control.Now
 	texts   []string
@@ -66,6 +67,13 @@
 	return boxapi.Why{Node: node, State: boxapi.Serving, Works: true}, strings.HasPrefix(node, "n")
 }
 func (f *fake) Apply(all []control.Change) {
+	f.mu.Lock()
+	slow := f.slow
+	f.mu.Unlock()
+	if slow != nil {
+		f.stalled <- struct{}{}
+		<-slow
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range all {
@@ -278,6 +286,7 @@
 	if _, err := r.ask.Edit(background, control.Edit{ID: "e3", What: control.Drain{Node: "n3"}}); err != nil {
 		t.Error(err)
 	}
+	r.edit(t, "e4", 0, control.Restore{Node: "n3"})
 	r.set(func() { r.many = r.many[:1] }) // n3 goes; n2 is the last again
 	_, err = r.ask.Edit(background, last)
 	flawOf(t, err, string(control.Last))
@@ -357,7 +366,7 @@
 		r.clock.Mono += time.Second
 		r.clock.Wall = r.clock.Wall.Add(time.Second)
 	})
-	r.service.tick()
+	<-r.told // its time has come, and the disk does not take it
 	if st, err := r.ask.Status(background); err != nil || st.Store != "a bad disk" || !r.drained["n1"] {
 		t.Errorf("%+v, %v", st, err)
 	}
@@ -365,7 +374,7 @@
 	if got := <-seen; got.ID != "e1" {
 		t.Errorf("%+v", got)
 	}
-	if got := <-seen; got.Kind != control.Ended || got.Of != 1 || got.By != "" {
+	if got := recv(t, seen); got.Kind != control.Ended || got.Of != 1 || got.By != "" {
 		t.Errorf("%+v", got)
 	}
 	r.set(func() {
@@ -375,6 +384,17 @@
 	})
 }
 
+// recv waits for what must come.
+func recv[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(20 * time.Second):
+		t.Fatal("it never came")
+	}
+	return v
+}
+
 func TestATrialIsConfirmedAndAnEditUndone(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, Bounds{})
@@ -601,6 +621,35 @@
 	}
 }
 
+// A watch that begins after a record counts and before its line is there has it from the history, and once.
+func TestARecordIsToldOnce(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, Bounds{})
+	hold := make(chan struct{})
+	r.set(func() { r.slow = hold })
+	go r.ask.Edit(background, control.Edit{ID: "e1", What: control.Drain{Node: "n1"}})
+	recv(t, r.stalled)
+	var got []uint64
+	enough := errors.New("enough")
+	err := r.ask.Watch(background, 0, 1, func(ev boxapi.Happening) error {
+		switch {
+		case ev.Record == nil:
+		case ev.Record.Revision == 2:
+			return enough
+		default:
+			if got = append(got, ev.Record.Revision); len(got) == 1 {
+				r.set(func() { r.slow = nil })
+				close(hold)
+				go r.ask.Edit(background, control.Edit{ID: "e2", What: control.Drain{Node: "n3"}})
+			}
+		}
+		return nil
+	})
+	if err != enough || !slices.Equal(got, []uint64{1}) {
+		t.Errorf("%d, %v", got, err)
+	}
+}
+
 func TestASocketLeftBehindIsTakenOverAndOneInUseIsNot(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, Bounds{})
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -21,6 +21,7 @@
 	fail  error
 	edits []control.Edit
 	long  string // put behind every name
+	first []string
 }
 
 func (b *box) now() control.Now {
@@ -34,7 +35,7 @@
 }
 func (b *box) Nodes(context.Context) ([]boxapi.Node, uint64, error) {
 	var out []boxapi.Node
-	for _, id := range []string{"n1" + b.long, "n2" + b.long} {
+	for _, id := range append(b.first, "n1"+b.long, "n2"+b.long) {
 		_, drained := b.Want().Find(control.Key("drain " + id))
 		n := boxapi.Node{ID: id, Pools: []string{"main" + b.long}, State: boxapi.Serving, Drained: drained, Load: 0.5}
 		if drained {
@@ -223,6 +224,21 @@
 	}
 }
 
+// A drain that is being asked for must not move to another node because one has been listed above it.
+func TestTheChosenNodeStaysChosen(t *testing.T) {
+	t.Parallel()
+	d := newDesk(t)
+	d.press("j")
+	d.first = []string{"a", "b", "c"}
+	d.sees()
+	d.shows("> n2")
+	d.press("d")
+	d.first = nil
+	d.sees()
+	d.press("y")
+	d.shows("done: drain n2")
+}
+
 func TestItSaysThatItIsOld(t *testing.T) {
 	t.Parallel()
 	d := newDesk(t)
@@ -253,9 +269,12 @@
 		}
 		width, height := size[0], size[1]
 		d.Update(tea.WindowSizeMsg{Width: width, Height: height})
-		if width == 0 {
+		if width == 0 { // a serial line does not know
 			width, height = 80, 24
 		}
+		if d.width != width || d.height != height {
+			t.Errorf("%v: taken for %d by %d", size, d.width, d.height)
+		}
 		d.sees()
 		for _, keys := range [][]string{{"1"}, {"2"}, {"w"}, {"2", "d"}, {"n", "3"}, {"G"}, {"g", "u"}, {"n", "4"}, {"b"}, {" "}} {
 			d.press(keys...)
