End the control service without waiting for connections that have asked nothing

Need: net/http's Shutdown waits five seconds for each connection that a client keeps unused. Change: the service knows them and closes them first.

--- a/internal/boxd/boxd_test.go
+++ b/internal/boxd/boxd_test.go
@@ -160,7 +160,7 @@
 	go func() { served <- service.Serve(l) }()
 	r.service = service
 	r.stop = sync.OnceFunc(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second) // less than Shutdown gives a new connection
 		defer cancel()
 		if err := service.Close(ctx); err != nil {
 			t.Errorf("close: %v", err)
@@ -676,6 +676,21 @@
 	}
 }
 
+// A client keeps a connection that it has not used yet; the box's end must not wait for it.
+func TestTheEndWaitsForNobodyWhoHasAskedNothing(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, Bounds{})
+	c, err := net.Dial("unix", filepath.Join(r.folder, boxapi.SocketName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := r.ask.Status(background); err != nil { // it has been accepted after the other
+		t.Fatal(err)
+	}
+	r.stop() // reports it where the bound on it is met
+}
+
 // Two that say nothing hold all the room there is; who comes third is answered once one of them has been closed for it.
 func TestConnectionsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/boxd/service.go
+++ b/internal/boxd/service.go
@@ -108,6 +108,7 @@
 	tried chan struct{} // an edit has been made: the next end may be nearer
 
 	watchers int
+	fresh    map[net.Conn]bool // connections that have asked nothing yet
 	down     chan struct{}
 	ended    sync.WaitGroup
 }
@@ -118,10 +119,10 @@
 	if setup.Log == nil {
 		setup.Log = func(string) {}
 	}
-	s := &Service{Setup: setup, hub: newHub(setup.Bounds.Lines), heard: map[string]uint64{}, tried: make(chan struct{}, 1),
+	s := &Service{Setup: setup, hub: newHub(setup.Bounds.Lines), heard: map[string]uint64{}, fresh: map[net.Conn]bool{}, tried: make(chan struct{}, 1),
 		down: make(chan struct{})}
 	s.http = http.Server{Handler: s.routes(), ReadTimeout: setup.Bounds.Head, WriteTimeout: setup.Bounds.Write + storeMost,
-		IdleTimeout: setup.Bounds.Idle, MaxHeaderBytes: headMost, ConnContext: meet,
+		IdleTimeout: setup.Bounds.Idle, MaxHeaderBytes: headMost, ConnContext: meet, ConnState: s.follow,
 		ErrorLog: log.New(says(setup.Log), "", 0)}
 	s.Box.Apply(s.State.Changes())
 	s.ended.Go(s.clock)
@@ -160,6 +161,9 @@
 		close(s.down)
 		s.hub.say(boxapi.Happening{Kind: boxapi.Bye, At: s.Now().Wall})
 		s.hub.end()
+		for c := range s.fresh {
+			c.Close()
+		}
 	}
 	s.mu.Unlock()
 	err := s.http.Shutdown(ctx)
@@ -170,6 +174,22 @@
 	return err
 }
 
+// follow knows the connections that have asked nothing yet: Shutdown would wait five seconds for each to do so.
+func (s *Service) follow(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fresh, c)
+	if state != http.StateNew {
+		return
+	}
+	select {
+	case <-s.down:
+		c.Close()
+	default:
+		s.fresh[c] = true
+	}
+}
+
 // Say adds a line of the box's log to the stream.
 func (s *Service) Say(level, text string) {
 	s.hub.say(boxapi.Happening{Kind: boxapi.Logged, At: s.Now().Wall, Level: level, Text: text})
