--- a/internal/lab/zonelab/pools.go
+++ b/internal/lab/zonelab/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/config"
@@ -77,9 +78,10 @@
 	if !ok {
 		return nil, fmt.Errorf("%s has no pools", sc.Name)
 	}
+	split := slices.ContainsFunc(p.rules, func(r routes.Rule) bool { return len(r.To) > 1 }) // of every call: none is left to a default
 	var named []config.Pool
 	for i, kind := range p.kinds {
-		named = append(named, config.Pool{Name: kind, Default: i == 0, Members: config.Members{Kinds: []string{kind}}})
+		named = append(named, config.Pool{Name: kind, Default: i == 0 && !split, Members: config.Members{Kinds: []string{kind}}})
 	}
 	var led []config.Route
 	for _, r := range p.rules {
