--- a/internal/boxd/service.go
+++ b/internal/boxd/service.go
@@ -7,6 +7,7 @@
 package boxd
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -68,28 +69,9 @@
 	Lines: 1024, Again: time.Second}
 
 func (b Bounds) filled() Bounds {
-	if b.Head == 0 {
-		b.Head = usual.Head
-	}
-	if b.Write == 0 {
-		b.Write = usual.Write
-	}
-	if b.Idle == 0 {
-		b.Idle = usual.Idle
-	}
-	if b.Conns == 0 {
-		b.Conns = usual.Conns
-	}
-	if b.Watchers == 0 {
-		b.Watchers = usual.Watchers
-	}
-	if b.Lines == 0 {
-		b.Lines = usual.Lines
-	}
-	if b.Again == 0 {
-		b.Again = usual.Again
-	}
-	return b
+	return Bounds{Head: cmp.Or(b.Head, usual.Head), Write: cmp.Or(b.Write, usual.Write), Idle: cmp.Or(b.Idle, usual.Idle),
+		Conns: cmp.Or(b.Conns, usual.Conns), Watchers: cmp.Or(b.Watchers, usual.Watchers), Lines: cmp.Or(b.Lines, usual.Lines),
+		Again: cmp.Or(b.Again, usual.Again)}
 }
 
 // Service answers operators.
