Take a sample of the app nodes in one place for both modes of the lab

Need: virtual time and sockets each held the same walk over the app nodes. Change: Sample.TakeNodes, which both call. Result: the tests of both modes, the zones' and the demo's pass.

--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -401,16 +401,8 @@
 func (r *run) takeSample() {
 	s := &r.sample
 	s.At = r.clock.Now()
-	s.Nodes, s.Balancers = s.Nodes[:0], s.Balancers[:0]
-	for i, n := range r.world.Nodes {
-		if i == len(r.busy) {
-			r.busy = append(r.busy, 0)
-		}
-		busy := n.BusySeconds()
-		s.Nodes = append(s.Nodes, virtual.NodeSample{Up: n.Up, Cold: n.Warmth() < 1, Held: n.Held(), Waiting: n.Waiting(),
-			Conns: n.Conns(), Busy: (busy - r.busy[i]) / r.opt.Sample.Seconds(), Capacity: n.Capacity()})
-		r.busy[i] = busy
-	}
+	s.Balancers = s.Balancers[:0]
+	r.busy = s.TakeNodes(r.world, r.busy, r.opt.Sample)
 	for _, b := range r.seats {
 		s.Balancers = append(s.Balancers, virtual.BalancerSample{Up: b.ready, Open: b.flying, Conns: len(b.nodeConns)})
 	}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -288,6 +288,22 @@
 
 // ---- samples ----
 
+// TakeNodes fills in the app nodes. busy holds how long each had worked at the last sample, a width ago; it is given back
+// as of now.
+func (s *Sample) TakeNodes(w *world.World, busy []float64, width time.Duration) []float64 {
+	s.Nodes = s.Nodes[:0]
+	for i, n := range w.Nodes {
+		if i == len(busy) {
+			busy = append(busy, 0)
+		}
+		now := n.BusySeconds()
+		s.Nodes = append(s.Nodes, NodeSample{Up: n.Up, Cold: n.Warmth() < 1, Held: n.Held(), Waiting: n.Waiting(),
+			Conns: n.Conns(), Busy: (now - busy[i]) / width.Seconds(), Capacity: n.Capacity()})
+		busy[i] = now
+	}
+	return busy
+}
+
 func (r *run) armSample() {
 	r.clock.After(r.opt.Sample, timeline.Func(func() {
 		if r.clock.Now() <= r.world.End {
@@ -300,16 +316,8 @@
 func (r *run) takeSample() {
 	s := &r.sample
 	s.At = r.clock.Now()
-	s.Nodes, s.Balancers = s.Nodes[:0], s.Balancers[:0]
-	for i, n := range r.world.Nodes {
-		if i == len(r.busy) {
-			r.busy = append(r.busy, 0)
-		}
-		busy := n.BusySeconds()
-		s.Nodes = append(s.Nodes, NodeSample{Up: n.Up, Cold: n.Warmth() < 1, Held: n.Held(), Waiting: n.Waiting(),
-			Conns: n.Conns(), Busy: (busy - r.busy[i]) / r.opt.Sample.Seconds(), Capacity: n.Capacity()})
-		r.busy[i] = busy
-	}
+	s.Balancers = s.Balancers[:0]
+	r.busy = s.TakeNodes(r.world, r.busy, r.opt.Sample)
 	for _, b := range r.balancers {
 		bs := BalancerSample{Up: b.serving}
 		if b.serving {
