--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Tasks of pewterrudder. `make` builds both programs.
+# Tasks of pewterrudder. `make` builds the programs, as deploy/balancer.toml does: a test holds the two together.
 .PHONY: build test lint run demo
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 # -race is left out: it needs cgo, which not every machine has.
 test:
