--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,6 +35,8 @@
 	reportLag   = 0.3  // seconds: by so much a load report may lag behind what this node has sent meanwhile
 	reportFades = 0.1  // seconds: a report soon gives way to own requests in flight, which are exact
 	reportStale = 30.0 // seconds: an older figure says nothing any more
+	reportMeans = 2.0  // seconds: reports older than this are left out of the mean
+	ownTells    = 4.0  // nodes that share a server, up to which each one's own requests tell how it stands
 
 	overdueDevs  = 6.0                   // deviations past the time expected that make an attempt overdue
 	overdueEvery = 10 * time.Millisecond // how often overdue attempts are looked for
@@ -66,7 +68,7 @@
 	fitRate   = 0.03 // weight of one answer in the fit of time to load figure
 	fitPrior  = 0.05 // pull of that fit towards plain proportion, in squared mean loads
 
-	reportBinds = 100 * time.Millisecond // a report older than this refuses nobody while nothing is out
+	reportBinds = 100 * time.Millisecond // times nodes that share a server: an older report refuses none
 	reportFresh = 500 * time.Millisecond // so young a report is believed against own answers since
 
 	idleHeld = 2.0 // requests held per size up to which nobody waits: never too busy
@@ -142,7 +144,6 @@
 	seen      bool
 	mean, dev float64 // time of OK attempts, seconds
 	limit     float64 // time that an answer may be expected to take, over the mean
-	waits     []wait  // in order of sending
 }
 
 // Node decides for one balancer node. It implements Decider.
@@ -176,7 +177,8 @@
 
 	reqs             map[string]*request
 	parked           []*request
-	ticking, looking bool // for room for the parked; for overdue attempts
+	waits            []wait // by due
+	ticking, looking bool   // for room for the parked; for overdue attempts
 
 	sends, busy              int     // attempts sent to warm servers since the last ranking; in flight
 	perSize, busyMean        float64 // sends per second and size of a warm server; in flight, smoothed
@@ -300,8 +302,7 @@
 		return
 	}
 	if s == nil {
-		s = &server{tie: n.rng.Uint32(), slow: 1}
-		s.Member = *m
+		s = &server{Member: *m, tie: n.rng.Uint32(), slow: 1}
 		s.State = Gone // until entered below
 		n.byID[m.Server] = s
 		n.resetServer(s)
@@ -454,21 +455,21 @@
 			busy, known = report[i]*s.size, true
 		}
 	}
-	if counted {
-		return held, known
+	if !counted {
+		held = queue + busy
 	}
-	return queue + busy, known
+	return held, known
 }
 
 // rate sets the load figure: requests held per unit of size. To the report come this node's own sends since,
 // magnified by the nodes that share the server and likely did the same; without a report (mean: what the
 // others hold per size) or without reports at all (mean is 0) own requests in flight are all there is.
 func (n *Node) rate(s *server, mean, herd float64) {
-	held := mean * s.size
-	since := s.load
-	if s.hasReport && (n.now-s.reportAt).Seconds() < reportStale {
-		w := math.Exp(-(n.now - s.reportAt).Seconds() / reportFades)
-		held, since = w*s.held, s.load-w*s.ownThen
+	held, since := mean*s.size, s.load
+	if age := (n.now - s.reportAt).Seconds(); s.hasReport && age < reportStale {
+		crowd := max(1, herd/ownTells) // among many nodes own requests tell little
+		w := math.Exp(-age / reportFades / crowd)
+		held, since = w*s.held+(1-w)*(1-1/crowd)*held, s.load-w*s.ownThen
 	}
 	held = max(held+since*herd, s.load)
 	s.figure = (held + 1) / s.size * s.slow
@@ -477,7 +478,7 @@
 func (n *Node) meanHeld() (mean, herd float64) {
 	sum, count := 0.0, 0.0
 	for _, s := range n.rank {
-		if a := (n.now - s.reportAt).Seconds(); s.hasReport && a < reportStale {
+		if a := (n.now - s.reportAt).Seconds(); s.hasReport && a < reportMeans {
 			sum += s.held / s.size
 			count++
 		}
@@ -505,8 +506,7 @@
 		if warm > 0 {
 			n.perSize += k * (float64(n.sends)/dt/warm - n.perSize)
 		}
-		n.busyMean += k * (float64(n.busy) - n.busyMean)
-		n.sends = 0
+		n.busyMean, n.sends = n.busyMean+k*(float64(n.busy)-n.busyMean), 0
 		for i := range n.tenants {
 			n.tenants[i] *= 1 - k
 		}
@@ -858,8 +858,7 @@
 	c := &n.classes[r.Class]
 	due := n.now + seconds((c.mean+overdueDevs*c.dev)*max(1, n.expect(s.figure)))
 	due = max(min(due, r.until-seconds(1.5*c.mean)), n.now+seconds(c.mean+3*c.dev)) // while a copy is of use
-	c.waits = append(c.waits, wait{r, len(r.attempts) - 1, due})
-	n.armOverdue(c)
+	n.await(wait{r, len(r.attempts) - 1, min(due, r.until)})
 	n.move(s)
 }
 
@@ -882,32 +881,40 @@
 // lookOverdue has a second copy sent for each attempt that should have been answered long ago, and in the end
 // gives it up. Acts when servers lose requests in silence or hang, else seen only at the deadline.
 func (n *Node) lookOverdue() {
-	for i := range n.classes {
-		c, k := &n.classes[i], 0
-	look:
-		for ; k < len(c.waits); k++ {
-			w := c.waits[k]
-			a := &w.r.attempts[w.i]
-			switch over := a.over || w.r.done || w.r.streamed; {
-			case over:
-			case w.due > n.now:
-				break look
-			case a.late && c.Late <= 0 && n.now > w.r.until: // worth nothing any more, and holds a place
+	for len(n.waits) > 0 {
+		w := n.waits[0]
+		a := &w.r.attempts[w.i]
+		over := a.over || w.r.done || w.r.streamed
+		if !over && w.due > n.now {
+			break
+		}
+		n.waits = n.waits[:copy(n.waits, n.waits[1:])]
+		switch {
+		case over:
+		case n.now > w.r.until: // worth nothing any more, and holds a place
+			if a.late = true; n.classes[w.r.Class].Late <= 0 {
 				n.giveUp(w.r)
-			default:
-				if a.late = true; n.now <= w.r.until {
-					c.waits = append(c.waits, wait{w.r, w.i, w.r.until + 1})
-				}
-				n.second(w.r)
 			}
+		default:
+			a.late = true
+			n.await(wait{w.r, w.i, w.r.until + 1})
+			n.second(w.r)
 		}
-		c.waits = c.waits[:copy(c.waits, c.waits[k:])]
-		n.armOverdue(c)
 	}
+	n.armOverdue()
+}
+
+// await notes when to look at an attempt: in order of due, so that none is kept behind one that is due later.
+func (n *Node) await(w wait) {
+	i := len(n.waits)
+	for n.waits = append(n.waits, w); i > 0 && n.waits[i-1].due > w.due; i-- {
+		n.waits[i], n.waits[i-1] = n.waits[i-1], w
+	}
+	n.armOverdue()
 }
 
-func (n *Node) armOverdue(c *classState) {
-	if !n.looking && len(c.waits) > 0 {
+func (n *Node) armOverdue() {
+	if !n.looking && len(n.waits) > 0 {
 		n.looking = true
 		n.emit(Action{Kind: SetTimer, After: overdueEvery, Cookie: cookieOverdue})
 	}
@@ -933,8 +940,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.over = true
-	a.ran = e.Outcome != Shed && e.Outcome != ConnectFailed && e.Outcome != NeverSent
+	a.over, a.ran = true, e.Outcome != Shed && e.Outcome != ConnectFailed && e.Outcome != NeverSent
 	r.out--
 	n.busy--
 	n.trackOwn(a.srv)
@@ -1254,8 +1260,8 @@
 func (n *Node) inTime(s *server, r *request) bool {
 	c := &n.classes[r.Class]
 	held, age := s.figure*s.size-1, n.now-s.reportAt
-	if age > reportBinds && s.inflight == 0 && s.inSample && s.noProbe == 0 {
-		return true // else nobody would learn that it has recovered
+	if age.Seconds() > reportBinds.Seconds()*n.coverage() && s.inflight == 0 && s.inSample && s.noProbe == 0 {
+		return true // else nobody would learn that it has recovered; each node takes its part of the trials
 	}
 	if age < reportFresh {
 		held = max(held, s.held) // own answers since, counted for other nodes too, cannot make it idle
--- /dev/null
+++ b/brain/many_test.go
@@ -0,0 +1,94 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Days of many nodes in front of the same servers, as one of them sees it.
+
+func manyNodes() Settings {
+	cfg := testSettings()
+	cfg.Nodes = 80
+	return cfg
+}
+
+// A node among many meets a server once in a while, and has nothing out there when it picks. What the report said a
+// moment ago is what there is to go by; forgotten at once, all servers look alike and overload is met by chance.
+func TestAmongManyNodesAReportOutlastsTheNextRequest(t *testing.T) {
+	for _, nodes := range []int{4, 80} {
+		cfg := testSettings()
+		cfg.Nodes = nodes
+		b := newBed(cfg, members(12))
+		for i, m := range members(12) {
+			b.do(&ProbeEnded{Server: m.Server, Outcome: OK, Report: []float64{float64(2 * i)}})
+		}
+		b.now += 600 * ms
+		b.do(&TimerFired{Cookie: cookieParked}) // the clock moves
+		b.node.rerank()
+		crowded, free := b.node.byID["s11"].figure, b.node.byID["s00"].figure
+		// Few nodes: own requests tell, and there are none out. Many: most of the difference of 22 still stands.
+		if many := nodes == 80; many && crowded-free < 11 || !many && crowded-free > 1 {
+			t.Errorf("%d nodes: figures %.2f and %.2f, 600 ms after reports of 22 and 0", nodes, crowded, free)
+		}
+	}
+}
+
+// "One more to see whether it has recovered" is harmless from one node and an overload from eighty: each takes its
+// part of the trials.
+func TestTrialsOfCrowdedServersAreSharedAmongTheNodes(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		after time.Duration // the report of a crowd
+		trial bool
+	}{{1, 50 * ms, false}, {1, 150 * ms, true}, {80, 150 * ms, false}, {80, 1500 * ms, false}, {80, 8100 * ms, true}} {
+		cfg := testSettings()
+		cfg.Nodes = c.nodes
+		b := newBed(cfg, members(12))
+		for range 50 { // answers take as long as there are requests ahead, and are asked for at all loads
+			for i, m := range members(12) {
+				b.node.fit(float64(i+1), float64(i+1))
+				b.do(&ProbeEnded{Server: m.Server, Outcome: OK, Report: []float64{200}})
+			}
+		}
+		b.node.rerank()
+		r, s := &request{Request: Request{Class: read, Tenant: -1}}, b.node.byID["s03"]
+		b.now += c.after
+		b.do(&TimerFired{Cookie: cookieParked})
+		s.figure = 201 // by what the others say, it has not got better
+		if got := b.node.inTime(s, r); got != c.trial {
+			t.Errorf("%d nodes, %v after the report: tried again %v, want %v", c.nodes, c.after, got, c.trial)
+		}
+	}
+}
+
+// Each call is given up when its own aim has passed, also while others go on coming: a look at it that is due must not
+// wait for those of calls that came later.
+func TestACallIsGivenUpAtItsAimWhateverCameSince(t *testing.T) {
+	cfg := manyNodes()
+	cfg.Classes[read].Late = 0
+	b := newBed(cfg, members(12))
+	asked, after := map[string]time.Duration{}, map[string]time.Duration{}
+	note := func(acts []Action) {
+		for _, a := range acts {
+			if a.Kind == Refuse || a.Kind == Fail {
+				after[a.ID] = b.now - asked[a.ID]
+			}
+		}
+	}
+	for i := range 250 {
+		b.now += overdueEvery
+		note(b.do(&TimerFired{Cookie: cookieOverdue}))
+		if i < 100 {
+			asked[fmt.Sprintf("r%d", b.seq+1)] = b.now
+			_, acts := b.ask(read)
+			note(acts)
+		}
+	}
+	for id := range asked {
+		if took, ok := after[id]; !ok || took > cfg.Classes[read].Aim+2*overdueEvery {
+			t.Errorf("%s: ended %v, after %v; its aim is %v", id, ok, took, cfg.Classes[read].Aim)
+		}
+	}
+}
