--- a/cmd/rudderlab/main_test.go
+++ b/cmd/rudderlab/main_test.go
@@ -138,7 +138,7 @@
 		want  []string
 	}{
 		{"sw", []string{"swarm", "sweep"}},
-		{"run fl", []string{"flash-crowd", "fleet-10k"}},
+		{"run fl", []string{"flash-crowd", "fleet-10k", "fleet-replaced"}},
 		{"run calm --po", []string{"--policy"}},
 		{"run calm --policy gr", []string{"greedy"}},
 		{"run calm --json --on s", []string{"sockets"}},
