--- a/brain/brain.go
+++ b/brain/brain.go
@@ -61,7 +61,7 @@
 	silentFrom = 2               // failed probes in a row that make a server silent
 	stallRatio = 4.0             // no sign of life for this many mean latencies while requests are out
 
-	coldMargin = 0.7 // of a node's fair share of a cold server: leaves room for chance and other nodes
+	coldMargin = 1.0 // of a node's fair share of a cold server: the rule bears three times it
 
 	aimShare  = 0.75 // of an aim that the expected time may fill: answers scatter around it
 	rankShare = 0.85 // of the limit left to each cheaper class, so that the dearer ones find room first
--- a/brain/many_test.go
+++ b/brain/many_test.go
@@ -92,3 +92,27 @@
 		}
 	}
 }
+
+// A cold server gets what its warmth can do, and no more: at half its capacity half of what a warm one is sent, while
+// the rule bears three times that. Kept back further, it idles while the warm ones drown.
+func TestAColdServerGetsItsWholeFairShare(t *testing.T) {
+	cfg := manyNodes()
+	b := newBed(cfg, members(11))
+	half := b.now - time.Duration(float64(cfg.Rules.ColdFor)*(0.5-cfg.Rules.ColdFrom)/(1-cfg.Rules.ColdFrom))
+	b.do(&FleetUpdate{Kind: UpdateChanges, Members: []Member{{Server: "half", Zone: "z1", Weight: 1, Started: half}}})
+	s := b.node.byID["half"]
+	b.node.perSize, s.cold, s.coldAt = 10, 0, b.now // a warm one is sent ten a second
+	sent := 0
+	for range 1000 {
+		b.now += ms
+		b.node.now = b.now
+		s.Started = half + (b.now - time.Minute) // it stays half warm
+		if b.node.coldRoom(s) {
+			b.node.spendCold(s)
+			sent++
+		}
+	}
+	if sent < 4 || sent > 5 {
+		t.Errorf("%d in a second; half of ten is the share", sent)
+	}
+}
--- a/brain/random_test.go
+++ b/brain/random_test.go
@@ -421,7 +421,7 @@
 	}
 	b.do(&FleetUpdate{Kind: UpdateChanges, Members: []Member{{Server: "fresh", Zone: "z1", Weight: 1, Started: b.now}}})
 	b.do(&ProbeEnded{Server: "fresh", Outcome: OK, Report: []float64{0}})
-	// 100 sends a second over 9 servers: an even part is 11; cold, a third of it, half of that for safety.
+	// 100 sends a second over 9 servers: an even part is 11; cold, a third of it, and one for the bucket's start.
 	if got := serve(); got > 4 {
 		t.Errorf("%d sends to a cold server in its first second", got)
 	}
