--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
-# -race is left out: it needs cgo, which not every machine has.
+# -race is left out: it takes several times as long.
 test:
 	go test -timeout 150s ./...
 
