Keep looks at open calls in a heap, and arm timers in one place

Cause: the looks in order of due were a sorted slice. A look moved past all that are due later, and each one taken copied the rest down, so the work for an event grew with the open calls. Three functions armed timers alike, and retryParked armed what park had armed. Change: container/heap for the looks, which forgets what it gives out; one arm. A test holds the order and that nothing is kept; it was seen to fail with a broken comparison.

--- a/brain/bench_test.go
+++ b/brain/bench_test.go
@@ -1,8 +1,10 @@
 package brain
 
 import (
+	"container/heap"
 	"fmt"
 	"testing"
+	"time"
 )
 
 // The cost of a request with its outcome, and of a ranking, by the size of the fleet.
@@ -33,3 +35,26 @@
 		})
 	}
 }
+
+// The cost of a call's look must not follow the number of open calls. Two classes with different aims: each one's looks
+// fall among the other's.
+func BenchmarkLookAmongOpenCalls(b *testing.B) {
+	for _, open := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(open), func(b *testing.B) {
+			n, err := New(testSettings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := &request{attempts: []attempt{{over: true}}}
+			step := time.Second / time.Duration(open) // so many fall into the longer aim
+			for i := range open {
+				n.await(wait{r, 0, time.Duration(i) * step})
+			}
+			for i := 0; b.Loop(); i++ {
+				at := time.Duration(i) * step
+				n.await(wait{r, 0, at + time.Second/time.Duration(1+i%2)})
+				heap.Pop(&n.waits)
+			}
+		})
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 // the peers, for each class); slow start; shedding (cheapest worth first); probing.
 import (
 	"cmp"
+	"container/heap"
 	"errors"
 	"fmt"
 	"math"
@@ -131,6 +132,18 @@
 	due time.Duration
 }
 
+type waits []wait // a heap: the first due on top
+
+func (w waits) Len() int           { return len(w) }
+func (w waits) Less(i, j int) bool { return w[i].due < w[j].due }
+func (w waits) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+func (w *waits) Push(x any)        { *w = append(*w, x.(wait)) }
+func (w *waits) Pop() any {
+	last := (*w)[len(*w)-1]
+	*w = slices.Delete(*w, len(*w)-1, len(*w)) // which forgets its request
+	return last
+}
+
 type request struct {
 	Request
 	until                  time.Duration // when an answer stops being worth anything
@@ -177,8 +190,8 @@
 
 	reqs             map[string]*request
 	parked           []*request
-	waits            []wait // by due
-	ticking, looking bool   // for room for the parked; for overdue attempts
+	waits            waits
+	ticking, looking bool // for room for the parked; for overdue attempts
 
 	sends, busy              int     // attempts sent to warm servers since the last ranking; in flight
 	perSize, busyMean        float64 // sends per second and size of a warm server; in flight, smoothed
@@ -350,16 +363,18 @@
 func (n *Node) followDiscovery(k UpdateKind) {
 	switch {
 	case k == UpdateRestored:
-		n.armAsk(time.Duration(n.rng.Float64() * float64(min(n.cfg.Rules.AskEvery/8, time.Second))))
+		first := min(n.cfg.Rules.AskEvery/8, time.Second)
+		n.arm(&n.askArmed, time.Duration(n.rng.Float64()*float64(first)), cookieAsk)
 	case k == UpdateAskFailed:
-		n.armAsk(time.Second/2 + time.Duration(n.rng.Float64()*float64(time.Second)))
+		n.arm(&n.askArmed, time.Second/2+time.Duration(n.rng.Float64()*float64(time.Second)), cookieAsk)
 	}
 }
 
-func (n *Node) armAsk(after time.Duration) {
-	if !n.askArmed {
-		n.askArmed = true
-		n.emit(Action{Kind: SetTimer, After: after, Cookie: cookieAsk})
+// arm sets a timer, if it is not set yet.
+func (n *Node) arm(set *bool, after time.Duration, cookie uint64) {
+	if !*set {
+		*set = true
+		n.emit(Action{Kind: SetTimer, After: after, Cookie: cookie})
 	}
 }
 
@@ -463,11 +478,12 @@
 
 // rate sets the load figure: requests held per unit of size. To the report come this node's own sends since,
 // magnified by the nodes that share the server and likely did the same; without a report (mean: what the
-// others hold per size) or without reports at all (mean is 0) own requests in flight are all there is.
+// others hold per size) or without reports at all (mean is 0) own requests in flight are all there is. Among
+// many nodes they say little: there an old report gives way to the mean, and more slowly.
 func (n *Node) rate(s *server, mean, herd float64) {
 	held, since := mean*s.size, s.load
 	if age := (n.now - s.reportAt).Seconds(); s.hasReport && age < reportStale {
-		crowd := max(1, herd/ownTells) // among many nodes own requests tell little
+		crowd := max(1, herd/ownTells)
 		w := math.Exp(-age / reportFades / crowd)
 		held, since = w*s.held+(1-w)*(1-1/crowd)*held, s.load-w*s.ownThen
 	}
@@ -888,7 +904,7 @@
 		if !over && w.due > n.now {
 			break
 		}
-		n.waits = n.waits[:copy(n.waits, n.waits[1:])]
+		heap.Pop(&n.waits)
 		switch {
 		case over:
 		case n.now > w.r.until: // worth nothing any more, and holds a place
@@ -901,23 +917,15 @@
 			n.second(w.r)
 		}
 	}
-	n.armOverdue()
-}
-
-// await notes when to look at an attempt: in order of due, so that none is kept behind one that is due later.
-func (n *Node) await(w wait) {
-	i := len(n.waits)
-	for n.waits = append(n.waits, w); i > 0 && n.waits[i-1].due > w.due; i-- {
-		n.waits[i], n.waits[i-1] = n.waits[i-1], w
+	if len(n.waits) > 0 {
+		n.arm(&n.looking, overdueEvery, cookieOverdue)
 	}
-	n.armOverdue()
 }
 
-func (n *Node) armOverdue() {
-	if !n.looking && len(n.waits) > 0 {
-		n.looking = true
-		n.emit(Action{Kind: SetTimer, After: overdueEvery, Cookie: cookieOverdue})
-	}
+// await notes when to look at an attempt, which no other that is due later may hold up.
+func (n *Node) await(w wait) {
+	heap.Push(&n.waits, w)
+	n.arm(&n.looking, overdueEvery, cookieOverdue)
 }
 
 // second sends a further copy while the first is out, inside the budget and where that is allowed; the first
@@ -1027,14 +1035,7 @@
 		r.parked = true
 		n.parked = append(n.parked, r)
 	}
-	n.armParked()
-}
-
-func (n *Node) armParked() {
-	if !n.ticking {
-		n.ticking = true
-		n.emit(Action{Kind: SetTimer, After: parkedEvery, Cookie: cookieParked})
-	}
+	n.arm(&n.ticking, parkedEvery, cookieParked)
 }
 
 func (n *Node) retryParked() {
@@ -1053,9 +1054,6 @@
 		}
 		n.dispatch(r)
 	}
-	if len(n.parked) > 0 {
-		n.armParked()
-	}
 }
 
 // ---- health ----
--- a/brain/many_test.go
+++ b/brain/many_test.go
@@ -1,7 +1,9 @@
 package brain
 
 import (
+	"container/heap"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -116,3 +118,30 @@
 		t.Errorf("%d in a second; half of ten is the share", sent)
 	}
 }
+
+// Looks come in order of due whatever order they were asked for in, none is lost, and those over are forgotten.
+func TestLooksComeInOrderOfDue(t *testing.T) {
+	b := newBed(manyNodes(), members(2))
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 500 {
+		r := &request{Request: Request{Class: read}, done: true, attempts: []attempt{{}}}
+		b.node.await(wait{r, 0, time.Duration(rng.IntN(1000)) * ms})
+	}
+	var last time.Duration
+	for len(b.node.waits) > 0 {
+		due := b.node.waits[0].due
+		if due < last {
+			t.Fatalf("one due at %v after one at %v", due, last)
+		}
+		last = due
+		heap.Pop(&b.node.waits)
+	}
+	for i, w := range b.node.waits[:cap(b.node.waits)] {
+		if w.r != nil {
+			t.Fatalf("place %d still holds its request", i)
+		}
+	}
+	if last == 0 {
+		t.Error("no look was kept")
+	}
+}
