Let the lab set an earlier module against today's, and count over the fleet

Need: what many balancers do together showed in no figure of the lab, and before and after took two checkouts and a script. Change: rudderlab earlier REVISION plays scenarios with the module of a revision, built in by an overlay, and today's, in pairs, with 1, 8 and 80 balancers; all else is of today on both sides. Runs count attempts at the hottest app node in a second, connections at an app node, calls to discovery in a second, requests served after their aim, and work sent cold by balancers that knew over what the rule bears; in JSON, CSV, comparisons and merged records. The build with an overlay moved out of the planted faults into a package that both use. The new tests were seen to fail with the counting, the seconds and the names broken.

--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -19,6 +19,7 @@
 type commands struct {
 	Run     runCommand     `cmd:"" help:"Play a scenario."`
 	Compare compareCommand `cmd:"" help:"Play a scenario under several policies, over the same seeds."`
+	Earlier earlierCommand `cmd:"" help:"Play scenarios with the module as it is and as a revision had it, over the same seeds."`
 	Sweep   sweepCommand   `cmd:"" help:"Play a scenario with some of its keys varied."`
 	Report  reportCommand  `cmd:"" help:"Make page and tables anew from the records of a folder."`
 	List    listCommand    `cmd:"" help:"List the scenarios, policies or kinds of faults."`
--- a/cmd/rudderlab/planted.go
+++ b/cmd/rudderlab/planted.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pewterrudder/internal/lab/planted"
+	"pewterrudder/internal/lab/rebuilt"
 )
 
 type plantedCommand struct {
@@ -17,7 +18,7 @@
 }
 
 func (c *plantedCommand) Run() error {
-	root, err := planted.Root(".")
+	root, err := rebuilt.Root(".")
 	if err != nil {
 		return misuseError{err}
 	}
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -52,6 +52,8 @@
 
 	Attempts, Duplicated, DrainBreaks, ColdBreaks, Leaked, Late uint64
 
+	Fleet
+
 	Asked, InTime float64 // worth
 	Peak          float64 // pressure
 	PeakNode      int
@@ -89,6 +91,9 @@
 	knew  map[*world.Node]time.Duration   // when discovery knew that a node leaves
 	since []time.Duration                 // when discovery could reach the balancer again; below 0: it can't
 	loads []*load                         // by node
+
+	attempts []tally // by node
+	calls    tally   // to discovery
 }
 
 // slices of a window of pressure.
@@ -173,6 +178,7 @@
 	k := &o.sc.Classes[op.Class]
 	worth := op.Worth
 	if at-op.Due > k.Aim.D() {
+		o.AfterAim++
 		worth *= k.Late
 	}
 	o.InTime += worth
@@ -367,6 +373,7 @@
 func (o *Oracle) width() time.Duration { return o.sc.Rules.FallFor.D() / slices }
 
 func (o *Oracle) JobCame(n *world.Node, j *world.Job, balancer int) {
+	o.came(n)
 	for len(o.loads) <= n.Index {
 		o.loads = append(o.loads, nil)
 	}
@@ -432,11 +439,15 @@
 		told += l.told[i]
 	}
 	could := float64(n.Cores) * n.Speed * warmth * r.FallFor.D().Seconds() * 1000
-	if work <= r.OverloadFactor*could+r.ColdSlack || l.over {
+	bound, knew := r.OverloadFactor*could+r.ColdSlack, told >= work*2/3
+	if knew {
+		o.ColdShare = max(o.ColdShare, work/bound)
+	}
+	if work <= bound || l.over {
 		return
 	}
 	l.over = true
-	if told >= work*2/3 {
+	if knew {
 		o.Break(Cold, "app node %d, %v after its start, was sent %.0f ms of work in %v, and could do %.0f ms", n.Index,
 			o.w.Clock.Now()-n.Started, work, r.FallFor.D(), could)
 	}
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -1,5 +1,5 @@
 // Package planted owns the faults that are planted in the balancer to see that the oracles bite: small changes to the
-// source of reducer and module, each built into a program of its own with go build -overlay, which runs a swarm until a
+// source of reducer and module, each built into a program of its own (internal/lab/rebuilt), which runs a swarm until a
 // rule is broken. A swarm that finds nothing says something only where it finds these. It must never change a file of the
 // repository, nor leave one of its own behind.
 package planted
@@ -16,6 +16,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"pewterrudder/internal/lab/rebuilt"
 )
 
 // Fault is a change to one file: Old stands there once, and New comes in its place.
@@ -52,26 +54,8 @@
 	Only   []string // names; empty: all
 }
 
-// buildFor and runFor bound what is waited for, so that a fault which hangs a run ends as not caught.
-const (
-	buildFor = 3 * time.Minute
-	runFor   = 2 * time.Minute
-)
-
-// Root finds the source of this module from a folder in it.
-func Root(dir string) (string, error) {
-	cmd := exec.Command("go", "list", "-m", "-f", "{{.Path}} {{.Dir}}")
-	cmd.Dir = dir
-	out, err := cmd.Output()
-	if err != nil {
-		return "", fmt.Errorf("planted: the source of pewterrudder and the go command are needed: %w", err)
-	}
-	path, root, _ := strings.Cut(strings.TrimSpace(string(out)), " ")
-	if path != "pewterrudder" {
-		return "", fmt.Errorf("planted: %s is the source of %s, and not of pewterrudder", dir, path)
-	}
-	return root, nil
-}
+// runFor bounds what is waited for, so that a fault which hangs a run ends as not caught.
+const runFor = 2 * time.Minute
 
 // Apply gives the changed text of the fault's file.
 func (f *Fault) Apply(root string) ([]byte, error) {
@@ -154,24 +138,8 @@
 	if err != nil {
 		return "", err
 	}
-	changed, overlay := filepath.Join(dir, f.Name+".go.txt"), filepath.Join(dir, f.Name+".json")
-	raw, err := json.Marshal(map[string]any{"Replace": map[string]string{filepath.Join(root, f.File): changed}})
-	if err != nil {
-		return "", err
-	}
-	if err := errors.Join(os.WriteFile(changed, text, 0o644), os.WriteFile(overlay, raw, 0o644)); err != nil {
-		return "", err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), buildFor)
-	defer cancel()
-	program := filepath.Join(dir, f.Name)
-	cmd := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", program, "./cmd/rudderlab")
-	cmd.Dir = root
 	began := time.Now()
-	out, err := cmd.CombinedOutput()
+	program, err := rebuilt.Lab(root, dir, f.Name, f.File, text)
 	*took = time.Since(began).Seconds()
-	if err != nil {
-		return "", fmt.Errorf("go build: %w\n%s", err, out)
-	}
-	return program, nil
+	return program, err
 }
--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -6,11 +6,13 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pewterrudder/internal/lab/rebuilt"
 )
 
 // Each fault finds its place in the source as it is today, and changes it.
 func TestTheFaultsHaveTheirPlaces(t *testing.T) {
-	root, err := Root(".")
+	root, err := rebuilt.Root(".")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,7 +37,7 @@
 
 // One fault from its source to the rule that catches it; `rudderlab planted` does all. The others are not built.
 func TestAPlantedFaultIsCaught(t *testing.T) {
-	root, err := Root(".")
+	root, err := rebuilt.Root(".")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/lab/rebuilt/rebuilt.go
@@ -0,0 +1,74 @@
+// Package rebuilt owns programs of the lab that are built with some files of the source otherwise, by go build -overlay: a
+// fault planted, or an earlier form of the module. It must never change a file of the repository, nor leave one of its own
+// outside the folder that it is given.
+package rebuilt
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// buildFor bounds a build.
+const buildFor = 3 * time.Minute
+
+// Root finds the source of this module from a folder in it.
+func Root(dir string) (string, error) {
+	cmd := exec.Command("go", "list", "-m", "-f", "{{.Path}} {{.Dir}}")
+	cmd.Dir = dir
+	out, err := cmd.Output()
+	if err != nil {
+		return "", fmt.Errorf("rebuilt: the source of pewterrudder and the go command are needed: %w", err)
+	}
+	path, root, _ := strings.Cut(strings.TrimSpace(string(out)), " ")
+	if path != "pewterrudder" {
+		return "", fmt.Errorf("rebuilt: %s is the source of %s, and not of pewterrudder", dir, path)
+	}
+	return root, nil
+}
+
+// Lab builds rudderlab with another text in place of one file of the source, which is named from its root. The program
+// of that name is left in dir.
+func Lab(root, dir, name, file string, text []byte) (string, error) {
+	changed, overlay := filepath.Join(dir, name+".go.txt"), filepath.Join(dir, name+".json")
+	raw, err := json.Marshal(map[string]any{"Replace": map[string]string{filepath.Join(root, file): changed}})
+	if err != nil {
+		return "", err
+	}
+	if err := os.WriteFile(changed, text, 0o644); err != nil {
+		return "", err
+	}
+	if err := os.WriteFile(overlay, raw, 0o644); err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), buildFor)
+	defer cancel()
+	program := filepath.Join(dir, name)
+	cmd := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", program, "./cmd/rudderlab")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("go build: %w\n%s", err, out)
+	}
+	return program, nil
+}
+
+// Earlier gives a file as a revision of the repository has it.
+func Earlier(root, revision, file string) ([]byte, error) {
+	if strings.HasPrefix(revision, "-") {
+		return nil, fmt.Errorf("rebuilt: %q is no revision", revision)
+	}
+	cmd := exec.Command("git", "show", revision+":"+file)
+	cmd.Dir = root
+	var why strings.Builder
+	cmd.Stderr = &why
+	text, err := cmd.Output()
+	if err != nil {
+		return nil, fmt.Errorf("rebuilt: %s of revision %s: %w: %s", file, revision, err, strings.TrimSpace(why.String()))
+	}
+	return text, nil
+}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -35,7 +35,7 @@
 	out := csv.NewWriter(w)
 	out.Write(strings.Fields("scenario seed policy on digest offered served refused failed lost duplicated drain_breaks " +
 		"cold_breaks leaked goodput latency_ms.p50 latency_ms.p90 latency_ms.p99 latency_ms.p999 latency_ms.max " +
-		"peak_pressure speedup void"))
+		"peak_pressure hottest_node most_conns most_calls after_aim cold_share speedup void"))
 	whole := func(n int64) string { return strconv.FormatInt(n, 10) }
 	real := func(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
 	for i := range runs {
@@ -44,7 +44,8 @@
 		out.Write([]string{r.Scenario, strconv.FormatUint(r.Seed, 10), r.Policy, r.On, r.Digest, whole(r.Offered),
 			whole(r.Served), whole(r.Refused), whole(r.Failed), whole(r.Lost), whole(r.Duplicated), whole(r.DrainBreaks),
 			whole(r.ColdBreaks), whole(r.Leaked), real(r.Goodput), real(l.P50), real(l.P90), real(l.P99), real(l.P999),
-			real(l.Max), real(r.PeakPressure), real(r.Speedup), strconv.FormatBool(r.Void)})
+			real(l.Max), real(r.PeakPressure), whole(r.HottestNode), whole(r.MostConns), whole(r.MostCalls),
+			whole(r.AfterAim), real(r.ColdShare), real(r.Speedup), strconv.FormatBool(r.Void)})
 	}
 	out.Flush()
 	return out.Error()
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -130,6 +130,7 @@
 	run := day("ours", 3, 0.2).Run
 	run.Lost, run.Failed, run.Duplicated, run.DrainBreaks, run.ColdBreaks, run.Leaked = 11, 12, 13, 14, 15, 16
 	run.PeakPressure, run.Void = 1.75, true
+	run.HottestNode, run.MostConns, run.MostCalls, run.AfterAim, run.ColdShare = 17, 18, 19, 20, 0.25
 	runs := []result.Run{run}
 	var b, j bytes.Buffer
 	if err := CSV(&b, runs); err != nil {
--- a/internal/lab/result/compare.go
+++ b/internal/lab/result/compare.go
@@ -26,6 +26,11 @@
 	{"drain breaks", false, func(r *Run) float64 { return float64(r.DrainBreaks) }},
 	{"cold breaks", false, func(r *Run) float64 { return float64(r.ColdBreaks) }},
 	{"peak pressure", false, func(r *Run) float64 { return r.PeakPressure }},
+	{"served after the aim, share", false, func(r *Run) float64 { return share(r.AfterAim, r) }},
+	{"cold share of the bound", false, func(r *Run) float64 { return r.ColdShare }},
+	{"attempts at the hottest node in 1 s", false, func(r *Run) float64 { return float64(r.HottestNode) }},
+	{"most connections at a node", false, func(r *Run) float64 { return float64(r.MostConns) }},
+	{"most calls to discovery in 1 s", false, func(r *Run) float64 { return float64(r.MostCalls) }},
 }
 
 func share(n int64, r *Run) float64 { return float64(n) / float64(max(1, r.Offered)) }
--- a/internal/lab/result/merge.go
+++ b/internal/lab/result/merge.go
@@ -54,9 +54,13 @@
 	m.Runs += r.Runs
 	for _, c := range [][2]*int64{{&m.Offered, &r.Offered}, {&m.Served, &r.Served}, {&m.Refused, &r.Refused},
 		{&m.Failed, &r.Failed}, {&m.Lost, &r.Lost}, {&m.Duplicated, &r.Duplicated}, {&m.DrainBreaks, &r.DrainBreaks},
-		{&m.ColdBreaks, &r.ColdBreaks}, {&m.Leaked, &r.Leaked}} {
+		{&m.ColdBreaks, &r.ColdBreaks}, {&m.Leaked, &r.Leaked}, {&m.AfterAim, &r.AfterAim}} {
 		*c[0] += *c[1]
 	}
+	for _, c := range [][2]*int64{{&m.HottestNode, &r.HottestNode}, {&m.MostConns, &r.MostConns}, {&m.MostCalls, &r.MostCalls}} {
+		*c[0] = max(*c[0], *c[1])
+	}
+	m.ColdShare = max(m.ColdShare, r.ColdShare)
 	m.PeakPressure = max(m.PeakPressure, r.PeakPressure)
 	m.Speedup = min(m.Speedup, r.Speedup)
 	m.Times.Merge(r.Times.Histogram)
--- a/internal/lab/result/result_test.go
+++ b/internal/lab/result/result_test.go
@@ -152,7 +152,7 @@
 	var keys map[string]any
 	json.Unmarshal(text, &keys)
 	for _, name := range strings.Fields("scenario seed policy on digest offered served refused failed lost duplicated " +
-		"drain_breaks cold_breaks leaked goodput latency_ms peak_pressure speedup void") {
+		"drain_breaks cold_breaks leaked goodput latency_ms peak_pressure speedup void hottest_node most_conns most_calls after_aim cold_share") {
 		if _, ok := keys[name]; !ok {
 			t.Errorf("a run's object has no %s: %s", name, text)
 		}
--- a/internal/lab/result/run.go
+++ b/internal/lab/result/run.go
@@ -38,8 +38,16 @@
 	Latency      Latency `json:"latency_ms"`
 	PeakPressure float64 `json:"peak_pressure"` // work sent to a node in any 2 s over what it could do then, its highest
 	Speedup      float64 `json:"speedup"`       // simulated time over real time
-	Void         bool    `json:"void"`
-	Why          string  `json:"why,omitempty"` // it is void
+
+	// What the balancers do together.
+	HottestNode int64   `json:"hottest_node"` // attempts that came to one app node in a second, the most
+	MostConns   int64   `json:"most_conns"`   // connections open at one app node, the most
+	MostCalls   int64   `json:"most_calls"`   // calls to discovery in a second, the most
+	AfterAim    int64   `json:"after_aim"`    // requests served after their aim
+	ColdShare   float64 `json:"cold_share"`   // work sent to a cold node by balancers that knew of its start, over what the rule bears, its highest
+
+	Void bool   `json:"void"`
+	Why  string `json:"why,omitempty"` // it is void
 }
 
 // Window is what became of the requests that were due in one stretch of time, and what was seen in it.
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -91,7 +91,9 @@
 	d := &Done{Broken: rec.Broken, Breaks: rec.Breaks, Counts: *c}
 	d.Record = g.to.Record(result.Run{Scenario: sc.Name, Seed: job.Seed, Policy: job.Policy, On: on,
 		Digest: fmt.Sprintf("%016x", rec.Digest), Duplicated: int64(c.Duplicated), DrainBreaks: int64(c.DrainBreaks),
-		ColdBreaks: int64(c.ColdBreaks), Leaked: int64(c.Leaked), PeakPressure: c.Peak, Speedup: rec.Speedup})
+		ColdBreaks: int64(c.ColdBreaks), Leaked: int64(c.Leaked), PeakPressure: c.Peak, Speedup: rec.Speedup,
+		HottestNode: int64(c.HottestNode), MostConns: int64(c.MostConns), MostCalls: int64(c.MostCalls), AfterAim: int64(c.AfterAim),
+		ColdShare: c.ColdShare})
 	// Lost are requests that a balancer had taken and left without an answer, which is the oracle's to count; a wish whose
 	// client waited in vain for a balancer that was cut off has failed, and is no balancer's break.
 	d.Lost = int64(c.Lost)
--- a/internal/lab/world/kit_test.go
+++ b/internal/lab/world/kit_test.go
@@ -87,6 +87,7 @@
 
 // The watcher.
 func (s *scene) JobCame(*Node, *Job, int)                 {}
+func (s *scene) Called(int)                               {}
 func (s *scene) JobKept(*Node, *Job)                      {}
 func (s *scene) JobBegan(*Node, *Job)                     {}
 func (s *scene) Wished(op *Op)                            { s.wished = append(s.wished, op.Due) }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -51,6 +51,8 @@
 	Settled(op *Op, how Kind, at time.Duration)
 	// Wrote: a balancer has written the first byte of an attempt.
 	Wrote(balancer int, n *Node, op *Op)
+	// Called: a balancer calls discovery for a watch.
+	Called(balancer int)
 	// Knew: discovery has learned of a state. Told: a line with it has reached a balancer.
 	Knew(n *Node, s State)
 	Told(balancer int, n *Node, s State)
