Answer at a second address, send clients away, and share the clients' address

The logs told why: no listener at control (drain, figures), and the new process ended with 1 since the clients' address was taken.

Design: internal/admin is one net/http server without keep-alive, for 16 callers at once, the oldest of whom goes for one more; figures are published by the reducer every 150 ms and read from there, so that no caller waits behind calls. Drain is a state of the reducer, entered as often as one likes: ready says no at once, each answer ends its connection, those between calls close after 0.7 s, the silent ones after 2.2 s. With a second address the clients' address is opened with SO_REUSEPORT, and only once calls can be served.

Ways not taken: counters read with locks (the admin would wait behind the reducer); http.Server.Shutdown for a drain (it cannot be taken back); a filter on the shared address that has the newest process get all new connections (SO_ATTACH_REUSEPORT_CBPF): tried, refused here with 'operation not supported', so it is left out. The listening socket handed over a Unix socket is still to be weighed.

An answer that flows is timed by its first bytes: no deadline of the reducer ends it any more, and it is counted by its end. The lab's clients and its oracle follow.

--- a/brain/sight.go
+++ b/brain/sight.go
@@ -31,3 +31,18 @@
 	}
 	return v
 }
+
+// Avoids says that a node sends a server nothing of any class now: it does not take work by the list, or is left out for its
+// failures or refusals. It changes nothing.
+func (n *Node) Avoids(server string) bool {
+	s := n.byID[server]
+	if s == nil || s.State != Ready || s.noProbe >= silentFrom {
+		return true
+	}
+	for i := range s.by {
+		if h := &s.by[i]; h.ejectUntil <= n.now && h.shedUntil <= n.now {
+			return false
+		}
+	}
+	return true
+}
--- a/cmd/pewterrudder/box.go
+++ b/cmd/pewterrudder/box.go
@@ -43,7 +43,7 @@
 }
 
 // standing is how the program as a whole stands.
-type standing struct{ ready, draining atomic.Bool }
+type standing struct{ ready, draining, away atomic.Bool }
 
 // operations is the control service with its store, for as long as the program runs.
 type operations struct {
@@ -201,7 +201,7 @@
 
 func (b *box) Status() boxapi.Status {
 	v := b.look()
-	s := boxapi.Status{Name: b.cfg.Name, Version: version(), Up: b.now() - b.begin, Ready: b.ready.Load(), Draining: b.draining.Load(),
+	s := boxapi.Status{Name: b.cfg.Name, Version: version(), Up: b.now() - b.begin, Ready: b.ready.Load(), Draining: b.draining.Load() || b.away.Load(),
 		Pools: len(v.Pools), Nodes: v.Total, Calls: v.Taken, Rate: b.perSecond(v.Taken), Open: v.Calls, Refused: v.Refused, Failed: v.Failed}
 	for i := range v.Nodes {
 		if b.stateOf(&v.Nodes[i]).Works() {
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -109,9 +109,13 @@
 		list.Hear(func() { post(reducer.Heard{Source: discovery}) })
 	}
 
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	// With a second address a later version may start beside this process. The clients' address is then opened once calls
+	// can be served: from that moment on new connections come here.
+	var listener net.Listener
+	if cfg.Control == "" {
+		if listener, err = acceptor.Listen(cfg.Listen, false); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
 	}
 	others, err := follow(cfg, post, now, started)
 	if err != nil {
@@ -119,6 +123,12 @@
 	}
 	defer others.stop()
 	var standing standing
+	able := make(chan struct{}, 1)
+	counter, err := attend(cfg, post, &standing, nodes.Written)
+	if err != nil {
+		return err
+	}
+	defer counter.close()
 	go func() {
 		var effects []reducer.Effect
 		for ev := range events {
@@ -142,17 +152,22 @@
 				case reducer.Arm:
 					time.AfterFunc(e.After, func() { post(e.Event) })
 				case reducer.Ready:
-					front.Ready()
-					standing.ready.Store(true)
-					others.show(eureka.Serving)
+					able <- struct{}{}
 				case reducer.Log:
 					log.Print(e.Text)
+				case reducer.Turn:
+					front.Turn(e.Away)
+					standing.away.Store(e.Away)
+				case reducer.Part:
+					front.Part(e.Silent)
+				case reducer.Publish:
+					counter.figures.Store(e.Figures)
 				}
 			}
 			clear(effects)
 		}
 	}()
-	post(reducer.Started{Known: known, Discovery: cfg.Discovery})
+	post(reducer.Started{Known: known, Discovery: cfg.Discovery, Figures: cfg.Control != ""})
 	ops, err := operate(cfg, state, post, now, &standing)
 	if err != nil {
 		return err
@@ -160,10 +175,22 @@
 	defer ops.stop()
 
 	served := make(chan error, 1)
-	go func() { served <- front.Serve(listener) }()
+	if listener != nil {
+		go func() { served <- front.Serve(listener) }()
+	}
 	drained := make(chan struct{})
 	for {
 		select {
+		case <-able:
+			if listener == nil && !standing.draining.Load() {
+				if listener, err = share(cfg.Listen); err != nil {
+					return err
+				}
+				go func() { served <- front.Serve(listener) }()
+			}
+			front.Ready()
+			standing.ready.Store(true)
+			others.show(eureka.Serving)
 		case err := <-served:
 			if err == nil {
 				err = errors.New("the listener has ended")
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -50,11 +50,11 @@
 	server    *http.Server
 	conns     *clients
 
-	ready, draining atomic.Bool
-	lastCall        atomic.Uint64
-	mu              sync.Mutex
-	waiting         map[uint64]chan reducer.Reply
-	bounds          Bounds
+	ready, draining, away atomic.Bool
+	lastCall              atomic.Uint64
+	mu                    sync.Mutex
+	waiting               map[uint64]chan reducer.Reply
+	bounds                Bounds
 }
 
 // Bounds of the bodies that flow.
@@ -135,16 +135,22 @@
 	a.server.Shutdown(ctx)
 }
 
-// lastOne has a client leave the connection after an answer, while draining.
+// Turn says whether clients are sent away: each answer then ends its connection, and the front is told no.
+func (a *Acceptor) Turn(away bool) { a.away.Store(away) }
+
+// Part closes the connections that carry no call, those that have not said anything too if silent.
+func (a *Acceptor) Part(silent bool) { a.conns.part(silent) }
+
+// lastOne has a client leave the connection after an answer, while clients are to go.
 func (a *Acceptor) lastOne(h http.Header) {
-	if a.draining.Load() {
+	if a.draining.Load() || a.away.Load() {
 		h.Set("Connection", "close")
 	}
 }
 
 func (a *Acceptor) health(w http.ResponseWriter, _ *http.Request) {
 	a.lastOne(w.Header())
-	if !a.ready.Load() || a.draining.Load() {
+	if !a.ready.Load() || a.draining.Load() || a.away.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// part has all connections end that carry no call, as dismiss does.
+func (c *clients) part(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	these := []map[*client]uint64{c.idle, c.silent}
+	if !silent {
+		these = these[:1]
+	}
+	for _, m := range these {
+		for k := range m {
+			if k.leave(true) {
+				c.leaving++
+			}
+		}
+		clear(m)
+	}
+}
+
 // room waits until one more connection may be open.
 func (c *clients) room() {
 	c.mu.Lock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -270,6 +270,8 @@
 	Cores    float64 `json:"cores"`
 	MemoryMB int     `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
+
+	apart int // sockets for the second address
 }
 
 // Defaults for limits that the file leaves out: the smallest machine that the platform hands out.
@@ -280,6 +282,8 @@
 	// the watch and its successor, and a few for what the runtime opens.
 	reservedSockets = 24
 	leastSockets    = 2 * reservedSockets
+	// controlSockets are kept for the second address, where there is one: its callers, its listener and what it looks at.
+	controlSockets = 20
 )
 
 // Config is all that one balancer is told.
@@ -287,6 +291,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Control   string          `json:"control"` // where operators ask; none: nobody does
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`    // a list in discovery's form
@@ -316,7 +321,7 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"RELAY_NAME", &c.Name}, {"RELAY_LISTEN", &c.Listen}, {"RELAY_DISCOVERY", &c.Discovery}} {
+	}{{"RELAY_NAME", &c.Name}, {"RELAY_LISTEN", &c.Listen}, {"RELAY_DISCOVERY", &c.Discovery}, {"RELAY_CONTROL", &c.Control}} {
 		if *v.to == "" {
 			*v.to = env(v.name)
 		}
@@ -333,7 +338,7 @@
 	for _, k := range []struct {
 		name string
 		same bool
-	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"limits", c.Limits == next.Limits},
+	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"control", c.Control == next.Control}, {"limits", c.Limits == next.Limits},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"flow, in the settings file,", c.Service.Flow == next.Service.Flow},
 		{"roster, in the settings file,", reflect.DeepEqual(c.Service.Roster, next.Service.Roster)},
 		{"box, in the settings file,", c.Service.Box == next.Service.Box}} {
@@ -351,6 +356,11 @@
 	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
+	if c.Control != "" {
+		if _, err := netip.ParseAddrPort(c.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
 	var err error
 	if c.Prng, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed: %q is not a number of up to 16 hex digits", c.Seed)
@@ -364,6 +374,9 @@
 	if c.Limits.MemoryMB < 0 {
 		return fmt.Errorf("limits.memory_mb: %d is negative", c.Limits.MemoryMB)
 	}
+	if c.Control != "" {
+		c.Limits.apart = controlSockets
+	}
 	if c.Limits.Sockets < leastSockets {
 		return fmt.Errorf("limits.sockets: %d is under the %d needed", c.Limits.Sockets, leastSockets)
 	}
@@ -399,6 +412,6 @@
 // open between calls: the front opens no more than a third of our descriptors for requests, and clients that keep
 // connections that they do not use must not keep out those that ask.
 func (l Limits) Budget() (clients, kept, delegations int) {
-	free := l.Sockets - reservedSockets
+	free := l.Sockets - reservedSockets - l.apart
 	return free - free/3, l.Sockets / 4, free / 3
 }
--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pewterrudder/internal/flow"
@@ -37,8 +38,12 @@
 	columns []string // of a load report, as the settings name them
 	bounds  Bounds
 	conns   map[uint64]*conn
+	written atomic.Uint64
 }
 
+// Written is how many calls have been written whole to app nodes since the start.
+func (c *Connections) Written() uint64 { return c.written.Load() }
+
 // New makes an empty set; post takes the events, columns are the settings' names of a report's values.
 func New(post func(reducer.Event), columns []string, bounds Bounds) *Connections {
 	return &Connections{post: post, columns: columns, bounds: bounds, conns: map[uint64]*conn{}}
--- a/internal/delegation/write.go
+++ b/internal/delegation/write.go
@@ -63,7 +63,9 @@
 			job.whole = out.Write(k.nc) == nil // net/http holds the body to its stated length
 		}
 	}
-	if !job.whole {
+	if job.whole {
+		k.set.written.Add(1)
+	} else {
 		k.nc.SetDeadline(time.Unix(1, 0)) // ends the reader, which reports
 	}
 }
--- a/internal/lab/world/ask.go
+++ b/internal/lab/world/ask.go
@@ -76,10 +76,12 @@
 	place    int // among the asks of its seat; -1: none
 	moved    bool
 	taken    bool
-	over     bool // as the client sees it
-	written  bool // the balancer has given its answer
-	answered bool // that, or nobody waits for one any more
-	flows    bool // the answer is under way
+	over     bool          // as the client sees it
+	written  bool          // the balancer has given its answer
+	answered bool          // that, or nobody waits for one any more
+	stayed   bool          // past its deadline
+	flows    bool          // the answer is under way
+	begun    time.Duration // when that had begun to flow; 0: it came in one piece
 	outcome  Outcome
 }
 
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -410,7 +410,9 @@
 	a.outcome = o
 	if a.flows = o.Flows; !a.flows {
 		w.Clients.finish(a)
+		return
 	}
+	a.begun = now
 }
 
 // FlowEnded is the end of an answer that flowed: whole, or broken off in a way that the client can tell.
@@ -431,7 +433,11 @@
 	c.release(a)
 	from, to := c.places(a)
 	d := w.Net.delay(to, from)
-	w.Seen.Answered(a, a.outcome, w.Clock.Now()+d)
+	at := w.Clock.Now()
+	if a.begun > 0 {
+		at = a.begun // of an answer that flows the first bytes are timed
+	}
+	w.Seen.Answered(a, a.outcome, at+d)
 	if !w.Net.Cut(to, from) {
 		w.Clock.After(d, (*answering)(a))
 	}
@@ -458,7 +464,18 @@
 // deadlineOf is a request as the task that ends the client's patience. The grace is over by then.
 type deadlineOf Ask
 
-func (t *deadlineOf) Run() { (*Ask)(t).leave(Lost) }
+func (t *deadlineOf) Run() {
+	a := (*Ask)(t)
+	if a.flows && !a.stayed { // who has the first bytes stays for the others
+		a.stayed = true
+		a.timer = a.world().Clock.After(flowPatience, t)
+		return
+	}
+	a.leave(Lost)
+}
+
+// flowPatience is how long a client stays past its deadline for the rest of an answer that has begun to come.
+const flowPatience = 2 * time.Second
 
 type leaving struct{ a *Ask }
 
@@ -550,6 +567,9 @@
 	op.Settled = true
 	c.waits--
 	w.Journal.Note(now, Settled, op.Serial, uint64(o.Kind), 0)
+	if a.begun > 0 && o.Kind == Served {
+		now = a.begun
+	}
 	w.Seen.Settled(op, o.Kind, now)
 }
 
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -89,24 +89,10 @@
 	return late || early
 }
 
-// counted enters a final answer.
-func (r *Reducer) counted(k Kind) {
-	switch k {
-	case Served:
-		r.counts.Served++
-	case Refused:
-		r.counts.Refused++
-	default:
-		r.counts.Failed++
-	}
-}
-
 // onClientGone: nothing is owed any more. What flows to the client is no business of the module's, so it ends here.
 func (r *Reducer) onClientGone(c *call) {
 	c.done = true
-	if c.flow == nil { // one that flows has been counted by its answer
-		r.counts.Left++
-	}
+	r.counts.Left++
 	r.tell(c.pool, &brain.ClientGone{ID: c.brainID})
 	if d := c.flow; d != nil && !d.over {
 		r.abandon(d)
@@ -116,24 +102,21 @@
 	r.forget(c)
 }
 
-// onDeadline ends what is out, as the node expects at the deadline, and answers even if the node does not. It holds
-// for the last byte of an answer that flows as well: who was slow, app node or client, is not told by that.
+// onDeadline ends what is out, as the node expects at the deadline, and answers even if the node does not. An answer that
+// flows is the client's since its first bytes, and goes on for as long as both sides do.
 func (r *Reducer) onDeadline(id uint64) {
 	c := r.calls[id]
 	if c == nil {
 		return
 	}
-	c.done = c.done || c.flow != nil
 	for _, d := range c.delegations {
-		if d.over {
-			continue
+		if !d.over && d != c.flow {
+			r.abandon(d)
+			r.end(d, brain.TimedOut, nil)
 		}
-		o := brain.TimedOut
-		if d == c.flow {
-			o = brain.Cancelled
-		}
-		r.abandon(d)
-		r.end(d, o, nil)
+	}
+	if c.flow != nil && !c.done {
+		return
 	}
 	if !c.done { // held by the node, or forgotten
 		r.answer(c, r.unserved(c))
@@ -149,7 +132,7 @@
 		return
 	}
 	c.done = true
-	r.counted(reply.Kind)
+	r.counted(c, reply.Kind)
 	r.emit(Answer{c.ID, reply})
 	r.settle(c)
 	r.forget(c)
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -124,8 +124,7 @@
 	if e.Result == Unusable {
 		kind, c.rejected = Rejected, true
 	}
-	k.state, c.flow, d.begun = flowing, d, r.now
-	r.counted(kind)
+	k.state, c.flow, d.begun = flowing, d, r.now // it is counted by its end
 	r.emit(Answer{c.ID, Reply{Kind: kind, Message: e.Message}})
 	r.tell(c.pool, &brain.StreamBegun{ID: c.brainID, Attempt: d.attempt, Server: d.server, Took: r.now - d.sent})
 }
@@ -205,11 +204,17 @@
 	c := d.call
 	c.done = true
 	switch {
-	case c.rejected || e.Result == Left:
+	case e.Result == Left:
+		r.counts.Left++
+		r.end(d, brain.Cancelled, e.Report)
+	case c.rejected:
+		r.counted(c, Rejected)
 		r.end(d, brain.Cancelled, e.Report)
 	case e.Result == Good:
+		r.counted(c, Served)
 		r.end(d, brain.OK, e.Report)
 	default:
+		r.counted(c, Failed)
 		r.sayBroken(d, e)
 		r.end(d, brain.Dropped, nil)
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -94,6 +94,7 @@
 	Started struct {
 		Known     List
 		Discovery string
+		Figures   bool // they are to be published
 	}
 	// Reloaded: a new configuration is in force. Without a layout the one there is stays.
 	Reloaded struct {
@@ -352,13 +353,21 @@
 	rosterAt        time.Duration // when the roster's next moment is armed for; 0: none is
 
 	counts  Counts
-	wishes  map[string]wish // by app node
-	caps    map[string]int  // by pool
-	epoch   uint64
-	feeds   []*feed // the first is being worked through
-	touched []*server
-	oldest  *conn // of the idle ones, which lead on to newer
-	newest  *conn
+	tallies map[string]*ended // by the names of classes
+
+	avoided, avoiding, avoidAt int // servers: by the last walk; by the one under way, and where it is
+	applied, rejected          uint64
+
+	away     bool // clients are sent away
+	awayFrom time.Duration
+	turn     uint64          // how often that has changed
+	wishes   map[string]wish // by app node
+	caps     map[string]int  // by pool
+	epoch    uint64
+	feeds    []*feed // the first is being worked through
+	touched  []*server
+	oldest   *conn // of the idle ones, which lead on to newer
+	newest   *conn
 
 	discovery         string
 	revision          int64
@@ -412,7 +421,7 @@
 	r := &Reducer{cfg: cfg, decide: decide, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
 		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{},
-		wishes: map[string]wish{}, caps: map[string]int{}}
+		wishes: map[string]wish{}, caps: map[string]int{}, tallies: map[string]*ended{}}
 	if err := r.lay(l); err != nil {
 		return nil, err
 	}
@@ -442,6 +451,9 @@
 	switch e := ev.(type) {
 	case Started:
 		r.discovery = e.Discovery
+		if e.Figures {
+			r.onPublish()
+		}
 		if r.zoned {
 			r.emit(Arm{zoneTick, zoneClock{}})
 		}
@@ -553,6 +565,14 @@
 		r.onSourceBroke(e.Source, e.Err)
 	case rosterTick:
 		r.onRosterTick()
+	case Drain:
+		r.onTurn(true, e.Done)
+	case Activate:
+		r.onTurn(false, e.Done)
+	case part:
+		r.onPart(e.turn)
+	case publish:
+		r.onPublish()
 	}
 	effects, r.out = r.out, nil
 	return effects
