Pass bodies of up to 32 MB both ways, timed by their first bytes and their last

Traces of each attempt showed, in this order of loss: deadlines that ended what flowed; 411 for bodies in chunks and 413 over 64 KiB; answers of unknown length held back to 64 KiB, which at 80 kB a second is past every aim, and given up at a pause of 13 ms; flows that counted as load at their app node, so that the module refused a fifth of the lookups; heads that take the 2 s they may; refusals of uploads whose connection was reset under the client's writing. Ruled out: memory (32 of 64 MB), CPU (0.19 of a second), descriptors.

Design: a stated length over 64 KiB is committed at its first bytes, an unknown one at 2 KiB. An upload goes on as it comes, held to 64 kB a second; its time counts from its last byte (Uploaded), and until then it is neither load nor silence. After an answer in its middle the rest is taken until the client has seen it. Bodies in chunks are taken; those framed twice are told by watching heads on the connection (framing.go), and one in chunks is the last of its connection.

Ways not taken: holding uploads whole (no memory for it); a FIN before the rest is taken (the client takes it for a cut); a pump that commits unknown lengths at a pause (more code; 2 KiB does).

--- a/brain/api.go
+++ b/brain/api.go
@@ -5,7 +5,11 @@
 // reads no wall clock and does no I/O, so the same events always give the same actions.
 package brain
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // Times are durations on the embedder's monotonic clock; its zero point is arbitrary, but it never runs back.
 
@@ -128,6 +132,36 @@
 	GoalWorstTenant float64
 }
 
+// check finds what no node can work with; an error names the setting at fault.
+func (s *Settings) check() error {
+	switch {
+	case s.Nodes < 1:
+		return errors.New("brain: Nodes must be at least 1")
+	case len(s.Classes) == 0:
+		return errors.New("brain: Classes is empty")
+	case s.MaxAttempts < 1:
+		return errors.New("brain: MaxAttempts must be at least 1")
+	case s.Rules.ColdFor > 0 && (s.Rules.ColdFrom <= 0 || s.Rules.ColdFrom > 1):
+		return errors.New("brain: Rules.ColdFrom must lie in (0, 1]")
+	case s.Rules.ColdFor > 0 && s.Rules.OverloadFactor <= 0:
+		return errors.New("brain: Rules.OverloadFactor must be positive")
+	}
+	for i, c := range s.Classes {
+		if c.Deadline <= 0 || c.Aim <= 0 {
+			return fmt.Errorf("brain: Classes[%d] needs an Aim and a Deadline above zero", i)
+		}
+		if c.Repeat == Keyed && c.Window <= 0 {
+			return fmt.Errorf("brain: Classes[%d] is keyed and needs a Window above zero", i)
+		}
+	}
+	for i, t := range s.Tenants {
+		if t.Quota < 0 {
+			return fmt.Errorf("brain: Tenants[%d].Quota is negative", i)
+		}
+	}
+	return nil
+}
+
 // Event is one of the pointers below. A Balancer keeps no reference to it.
 type Event interface{ event() }
 
@@ -178,6 +212,10 @@
 	Work     float64 // expected work in ms on a standard core; 0: not told
 	Deadline time.Duration
 
+	// Upload: its body comes while it is sent, to one server alone. From the send on it has all the time it needs, until
+	// Uploaded tells its deadline.
+	Upload bool
+
 	// First and Later bound where it may go: the first attempt, and further ones, each to servers of whose Bit it has.
 	// 0: anywhere. With Nowhere as First it is given up at once.
 	First, Later uint64
@@ -219,6 +257,12 @@
 	Took    time.Duration
 }
 
+// Uploaded says that the whole body of an Upload has been sent. Its time counts from here.
+type Uploaded struct {
+	ID       string
+	Deadline time.Duration
+}
+
 // ClientGone ends a request without an answer owed.
 type ClientGone struct{ ID string }
 
@@ -237,6 +281,7 @@
 func (*Request) event()      {}
 func (*AttemptEnded) event() {}
 func (*StreamBegun) event()  {}
+func (*Uploaded) event()     {}
 func (*ClientGone) event()   {}
 func (*ProbeEnded) event()   {}
 func (*TimerFired) event()   {}
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -28,8 +28,10 @@
 	// A client that takes longer over its header, its first one included, is no client of ours, nor one that takes
 	// longer over the body behind it. Ours send a request in one piece; the others would hold descriptors and
 	// memory that ours need.
-	headerPatience = 2 * time.Second
+	headerPatience = 2600 * time.Millisecond // ours may take 2 s; who sends no head is to be told within 3 s
 	bodyPatience   = 2 * time.Second
+	// uploadPatience is what a client may fall behind the slowest pace of an upload: one that sends nothing is told within 3 s.
+	uploadPatience = 2500 * time.Millisecond
 	idlePatience   = 3 * time.Second // a connection without a call; a client whose next one crosses the close asks again
 	writePatience  = 2 * time.Second // for taking an answer, past the longest deadline
 	maxHeader      = 8 << 10
@@ -89,20 +91,29 @@
 			if r.ContentLength != 0 { // also for one that is refused: net/http reads on for a while before it closes
 				http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
 			}
+			nc := r.Context().Value(clientKey{}).(*client)
+			nc.heads.taken()
 			if r.URL.Path == readyPath {
 				a.health(w, r)
 				return
 			}
+			if len(r.TransferEncoding) > 0 { // where its body ends is not known but to net/http: nothing is to be read behind it
+				w.Header().Set("Connection", "close")
+			}
 			call, err := a.read(w, r)
 			if err != nil {
 				a.broken(w, r, err)
 				return
 			}
-			if up := call.Message.(*message.Call).Upload; up != nil {
+			up := call.Message.(*message.Call).Upload
+			if up != nil {
 				defer up.Close() // before net/http looks at the body again
 			}
 			r.Body = http.NoBody // it is in the call
 			proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callKey{}, call)))
+			if up != nil && !up.Whole() && !up.Failed() {
+				nc.lingers.Store(true) // the client still sends, and will look for its answer behind that
+			}
 		}),
 		ReadHeaderTimeout: headerPatience, WriteTimeout: longest + writePatience, IdleTimeout: idlePatience,
 		MaxHeaderBytes: maxHeader, ConnState: a.conns.changed,
--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"pewterrudder/internal/flow"
 	"pewterrudder/internal/message"
@@ -102,11 +101,11 @@
 	done   func()
 }
 
-// lend opens a flow for a client, which has to go on taking it, and be through by its deadline.
+// lend opens a flow for a client, which has to go on taking it. Its deadline was that of the first bytes.
 func (a *Acceptor) lend(r *http.Request, call *reducer.Call, resp *http.Response, m *message.Answer) io.ReadCloser {
 	m.Flow.Open()
 	nc := r.Context().Value(clientKey{}).(*client)
-	nc.flow(time.Now().Add(call.Deadline-a.now()), a.bounds.ClientIdle)
+	nc.flow(true, a.bounds.ClientIdle)
 	// A client that leaves while nothing comes for it is noticed by net/http alone; but not while an upload is cut short.
 	stop := func() bool { return true }
 	if up := call.Message.(*message.Call).Upload; up == nil || up.Whole() {
@@ -114,7 +113,7 @@
 	}
 	return &lent{Flow: m.Flow, resp: resp, answer: m, done: func() {
 		stop()
-		nc.flow(time.Time{}, 0)
+		nc.flow(false, a.bounds.ClientIdle)
 	}}
 }
 
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pewterrudder/internal/flow"
 )
 
 // clients counts the clients' connections against the descriptor budget. When it is used up, one without a call
@@ -35,9 +38,11 @@
 // deadlines too, but for the time that an answer flows.
 type client struct {
 	*net.TCPConn
+	heads    heads
+	lingers  atomic.Bool
 	mu       sync.Mutex
 	leaving  bool
-	until    time.Time     // by when what flows must have been taken; zero: nothing flows
+	flows    bool
 	patience time.Duration // while the client takes nothing
 	fed      int64         // bytes written, by the one that writes alone
 	taken    int64         // of these, acknowledged when that was last looked at
@@ -51,16 +56,21 @@
 	// grows to megabytes, which are memory as well, and what the client takes is seen long after. A quarter of it costs a
 	// tenth of the speed of a megabyte over loopback.
 	unsent = 512 << 10
+	// lingerMost bounds what is taken of a body that nobody wants, in bytes: what the largest bodies of the platform have.
+	lingerMost = 40 << 20
 )
 
-// flow sets the bounds of an answer that flows from now on, or lifts them.
-func (c *client) flow(until time.Time, patience time.Duration) {
+// flow says that an answer flows from now on, to a client that takes nothing for no longer than the patience, or that
+// none does any more.
+func (c *client) flow(flows bool, patience time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.until, c.patience = until, patience
-	if !until.IsZero() {
+	c.flows, c.patience = flows, patience
+	if flows {
 		c.takenAt = time.Now()
 		c.control(func(fd int) { unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsent) })
+	} else {
+		c.TCPConn.SetWriteDeadline(time.Now().Add(max(patience, writePatience))) // for net/http's last bytes of it
 	}
 }
 
@@ -70,14 +80,45 @@
 	}
 }
 
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.heads.came(p[:n])
+	}
+	return n, err
+}
+
+// Close ends a connection. Where the client still sends a body that nobody wants any more, that is taken until the client has
+// seen its answer and closes, or falls behind the slowest pace of an upload: closing at once would reset the connection, and
+// the answer with it.
+func (c *client) Close() error {
+	if !c.lingers.Swap(false) {
+		return c.TCPConn.Close()
+	}
+	defer c.TCPConn.Close()
+	waste := make([]byte, 16<<10)
+	began := time.Now()
+	for got := int64(0); got < lingerMost; {
+		c.TCPConn.SetReadDeadline(began.Add(uploadPatience + time.Duration(got*int64(time.Second)/flow.Slowest)))
+		n, err := c.TCPConn.Read(waste)
+		if got += int64(n); err != nil {
+			break
+		}
+	}
+	return nil
+}
+
+// framedTwice says that the head of the request being served names both a length and an encoding of its body.
+func (c *client) framedTwice() bool { return c.heads.twice() }
+
 // Write has patience with a client as long as it takes something. That a write gets on does not show it, nor that it does
 // not: room in our own buffer comes and goes by large steps. What counts is what the client's machine has acknowledged,
 // which is what was written less what the kernel still holds (SIOCOUTQ, tcp(7)).
 func (c *client) Write(p []byte) (n int, err error) {
 	c.mu.Lock()
-	until, patience := c.until, c.patience
+	flows, patience := c.flows, c.patience
 	c.mu.Unlock()
-	if until.IsZero() {
+	if !flows {
 		n, err = c.TCPConn.Write(p)
 		c.fed += int64(n)
 		return n, err
@@ -85,14 +126,10 @@
 	defer func() { c.fed += int64(n) }()
 	c.takenAt = time.Now()
 	for {
-		by := time.Now().Add(patience / looks)
-		if by.After(until) {
-			by = until
-		}
-		c.TCPConn.SetWriteDeadline(by)
+		c.TCPConn.SetWriteDeadline(time.Now().Add(patience / looks))
 		took, err := c.TCPConn.Write(p[n:])
 		n += took
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) || !c.progress(n) {
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.progress(n) {
 			return n, err
 		}
 	}
--- a/internal/acceptor/read.go
+++ b/internal/acceptor/read.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,13 +15,16 @@
 
 // read checks a request and reads its body. What fails here never goes to an app node.
 func (a *Acceptor) read(w http.ResponseWriter, r *http.Request) (*reducer.Call, error) {
-	came := a.now()
 	bad := func(text string) (*reducer.Call, error) { return nil, &refused{http.StatusBadRequest, text} }
 	// net/http takes Transfer-Encoding over a Content-Length and drops the latter (HTTP/1.0: the reverse), so a body
-	// that was framed both ways cannot be told apart here, and may hide another request behind its end. Our clients
-	// state a length; any other framing is turned away, and the connection with it.
-	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		return nil, &refused{http.StatusLengthRequired, "a body needs a Content-Length, in HTTP/1.1"}
+	// that was framed both ways cannot be told apart here, and may hide another request behind its end. What has come on the
+	// connection tells (framing.go).
+	twice := r.Context().Value(clientKey{}).(*client).framedTwice()
+	switch {
+	case twice:
+		return bad("a body is framed by its Content-Length or its Transfer-Encoding, not both")
+	case len(r.TransferEncoding) > 0 && !r.ProtoAtLeast(1, 1):
+		return nil, &refused{http.StatusLengthRequired, "a body needs a Content-Length, or HTTP/1.1"}
 	}
 	id := r.Header.Get("X-Request-Id")
 	if id == "" {
@@ -38,7 +42,8 @@
 	if !ok {
 		tenant = -1
 	}
-	out, err := a.body(w, r)
+	call := a.lastCall.Add(1)
+	out, err := a.body(w, r, call)
 	if err != nil {
 		return nil, err
 	}
@@ -47,31 +52,43 @@
 	if !ok {
 		work, _ = duration(hint + "m") // a bare figure is in ms; one that makes no sense is none
 	}
-	return &reducer.Call{ID: a.lastCall.Add(1), ClientID: strings.Clone(id), Class: class, Tenant: tenant, Retry: r.Header.Get("X-Retry") == "1",
+	out.Trailer = r.Trailer
+	return &reducer.Call{ID: call, ClientID: strings.Clone(id), Class: class, Tenant: tenant, Retry: r.Header.Get("X-Retry") == "1",
 		Key: r.URL.Query().Get("key"), Work: float64(work) / float64(time.Millisecond), Message: out, OneShot: out.Upload != nil,
-		Deadline: came + min(wait, a.deadlines[class])}, nil // nobody waits longer, and no timer should
+		Deadline: a.now() + min(wait, a.deadlines[class])}, nil // nobody waits longer, and no timer should
 }
 
 // body reads a body within the connection's read deadline, or leaves one that is too large to be held to whoever sends
 // it on. One that is too long by its own account is turned away unread.
-func (a *Acceptor) body(w http.ResponseWriter, r *http.Request) (*message.Call, error) {
+func (a *Acceptor) body(w http.ResponseWriter, r *http.Request, call uint64) (*message.Call, error) {
+	most := max(a.bounds.Upload, flow.Hold)
 	switch {
-	case r.ContentLength > max(a.bounds.Upload, flow.Hold):
+	case r.ContentLength > most:
 		return nil, &refused{http.StatusRequestEntityTooLarge, "the body is over the limit"}
 	case r.ContentLength == 0:
 		return &message.Call{}, nil
 	}
 	control := http.NewResponseController(w)
+	upload := func(body io.Reader) *message.Call {
+		return &message.Call{Upload: flow.NewUpload(body, r.ContentLength, most, min(a.bounds.ClientIdle, uploadPatience), time.Now,
+			func(t time.Time) { control.SetReadDeadline(t) }, func(last time.Time) {
+				a.post(reducer.Uploaded{Call: call, Last: a.now() - time.Since(last)})
+			})}
+	}
 	if r.ContentLength > flow.Hold {
-		return &message.Call{Upload: flow.NewUpload(r.Body, r.ContentLength, a.bounds.ClientIdle, time.Now,
-			func(t time.Time) { control.SetReadDeadline(t) })}, nil
+		return upload(r.Body), nil
 	}
-	body, err := io.ReadAll(r.Body) // grows as it comes: a length is only said
-	if err != nil {
-		return nil, &refused{http.StatusRequestTimeout, "the body is not as long as its Content-Length"}
+	body, err := io.ReadAll(io.LimitReader(r.Body, flow.Hold+1)) // grows as it comes: a length is only said
+	switch {
+	case err != nil:
+		return nil, &refused{http.StatusRequestTimeout, "the body is not as long as it should be"}
+	case len(body) <= flow.Hold:
+		control.SetReadDeadline(time.Time{}) // or its end would seem to be the client's leaving
+		return &message.Call{Body: body}, nil
+	case a.bounds.Upload <= flow.Hold:
+		return nil, &refused{http.StatusRequestEntityTooLarge, "the body is over the limit"}
 	}
-	control.SetReadDeadline(time.Time{}) // or its end would seem to be the client's leaving
-	return &message.Call{Body: body}, nil
+	return upload(io.MultiReader(bytes.NewReader(body), r.Body)), nil // in chunks, of unknown length
 }
 
 // duration reads a number and its unit: m for milliseconds, u for microseconds.
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -40,14 +40,15 @@
 	ClientIdleMs   float64 `json:"client_idle_ms"`   // for a client that takes or sends nothing in the middle of a body
 }
 
-// DefaultService is in force where no file says otherwise. Answers over 64 KiB flow, since app nodes send them on the
-// platform as well; uploads over 64 KiB are turned away, as its protocol has it.
+// DefaultService is in force where no file says otherwise. Bodies of up to 32 MB pass both ways, since the platform has
+// them, by peers that stop for seconds.
 func DefaultService() Service {
 	return Service{Roster: defaultRoster(), Flow: Flow{
-		MaxAnswerBytes: 16 << 20, // the days' longest are 1 MB; what says that it has gigabytes is broken
+		MaxAnswerBytes: 40 << 20, // what says that it has gigabytes is broken
+		MaxUploadBytes: 40 << 20, // and 60 MB are no client's of ours
 		MemoryShare:    0.1875,   // 6 MiB of the smallest machine's 32: 96 slow clients, 48 answers at their beginning
 		WaitMs:         250,      // what is held passes on within milliseconds, unless all clients read slowly
-		ClientIdleMs:   2000,     // as long as for a head or a body that is held
+		ClientIdleMs:   10_000,   // peers take seconds to read
 	}}
 }
 
--- a/internal/delegation/read.go
+++ b/internal/delegation/read.go
@@ -20,9 +20,10 @@
 	maxHead = 16 << 10
 	// maxInterim bounds the 1xx answers in front of one.
 	maxInterim = 4
-	// guess is the first buffer for a body that does not say how long it is; it grows to a quarter of what is held
-	// before memory for a flow is asked for, since most such bodies are short.
-	guess = 4 << 10
+	// guess is the buffer for a body that does not say how long it is, and goes on to be committed once it is full: of a long
+	// answer the first bytes are what counts, and one whose app node writes slowly may take seconds over what is held of
+	// others.
+	guess = 2 << 10
 )
 
 var (
@@ -220,12 +221,8 @@
 	}
 	if resp.ContentLength < 0 { // most such bodies are short
 		held = make([]byte, 0, guess)
-		for len(held) < flow.Hold/4 {
-			if held, err = fill(resp.Body, held); err != nil {
-				break
-			} else if len(held) == cap(held) {
-				held = append(make([]byte, 0, 2*cap(held)), held...)
-			}
+		for len(held) < guess && err == nil {
+			held, err = fill(resp.Body, held)
 		}
 		if err == io.EOF {
 			return held, nil, nil
@@ -237,7 +234,7 @@
 		return nil, nil, err
 	}
 	buffer := append(lease.Held(), held...)
-	for len(buffer) < flow.Hold && err == nil {
+	if len(buffer) == 0 { // it is told that it is large: its first bytes are what counts
 		buffer, err = fill(resp.Body, buffer)
 	}
 	switch {
--- a/internal/delegation/write.go
+++ b/internal/delegation/write.go
@@ -134,7 +134,7 @@
 	out := &http.Request{Method: in.Method, Host: in.Host, Header: in.Header.Clone(),
 		URL: &url.URL{Opaque: target, RawQuery: query, ForceQuery: asked && query == ""}}
 	if c.Upload != nil {
-		out.Body, out.ContentLength = io.NopCloser(job.feed), c.Upload.Length
+		out.Body, out.ContentLength, out.Trailer = io.NopCloser(job.feed), c.Upload.Length, c.Trailer
 	} else if len(c.Body) > 0 {
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(c.Body)), int64(len(c.Body))
 	}
--- a/internal/flow/upload.go
+++ b/internal/flow/upload.go
@@ -11,11 +11,15 @@
 // as fast as the app node takes it. What has been read is gone, so that it is sent once. The acceptor makes it and
 // ends it before its handler returns.
 type Upload struct {
-	// Length of the body, as stated.
+	// Length of the body, as stated; -1: it is not.
 	Length int64
 
 	body     io.Reader
-	patience time.Duration
+	most     int64         // of the body, in bytes
+	patience time.Duration // with a client, beyond what its body may take at slowest
+	waited   time.Duration // for the client; under using
+	last     time.Time     // when the client was waited for last: what was read since may have been there
+	came     func(last time.Time)
 	deadline func(time.Time) // sets the read deadline of the client's connection
 	clock    func() time.Time
 
@@ -28,9 +32,19 @@
 	touched atomic.Bool
 }
 
-// NewUpload makes an upload: a client that sends nothing for longer than the patience has failed.
-func NewUpload(body io.Reader, length int64, patience time.Duration, clock func() time.Time, deadline func(time.Time)) *Upload {
-	return &Upload{Length: length, body: body, patience: patience, deadline: deadline, clock: clock}
+const (
+	// Slowest is how fast a client has to send, in bytes a second. A slower one has failed once its patience is used up.
+	Slowest = 64_000
+	// longestGap is how long one that was faster may then send nothing.
+	longestGap = 4 * time.Second
+	// atOnce is how long a read takes at the most of what has been there.
+	atOnce = time.Millisecond
+)
+
+// NewUpload makes an upload of most bytes at the most. Time counts against the patience while the app node's side waits for
+// the client, and no longer than that. came is told once the last byte has been read, and since when it may have been there.
+func NewUpload(body io.Reader, length, most int64, patience time.Duration, clock func() time.Time, deadline func(time.Time), came func(last time.Time)) *Upload {
+	return &Upload{Length: length, body: body, most: most, patience: patience, deadline: deadline, clock: clock, came: came, last: clock()}
 }
 
 // Read takes the next bytes off the client's connection.
@@ -41,9 +55,15 @@
 		return 0, err
 	}
 	u.touched.Store(true)
+	began := u.clock()
 	n, err := u.body.Read(p)
+	if ended := u.clock(); ended.Sub(began) > atOnce {
+		u.waited, u.last = u.waited+ended.Sub(began), ended
+	}
 	if u.got += int64(n); err == io.EOF && u.got < u.Length {
 		err = io.ErrUnexpectedEOF
+	} else if u.got > u.most {
+		n, err = 0, ErrTooLong
 	}
 	if err == io.EOF {
 		u.end()
@@ -56,11 +76,15 @@
 // end: all of it has come, and the connection's deadline, left in force, would seem to be the client's leaving.
 func (u *Upload) end() {
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.stopped {
+	whole := !u.stopped
+	if whole {
 		u.whole = true
 		u.deadline(time.Time{})
 	}
+	u.mu.Unlock()
+	if whole { // outside the lock: who hears may have to wait for who interrupts
+		u.came(u.last)
+	}
 }
 
 func (u *Upload) allow() error {
@@ -72,7 +96,7 @@
 	case u.stopped:
 		return ErrStopped
 	}
-	u.deadline(u.clock().Add(u.patience))
+	u.deadline(u.clock().Add(min(u.patience+time.Duration(u.got*int64(time.Second)/Slowest)-u.waited, longestGap)))
 	return nil
 }
 
--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -379,6 +379,7 @@
 			b.run.oracle.Break(oracle.Sound, "balancer %d sends request %d again, whose body is gone", b.index, a.ID)
 		}
 		a.Data = bodyGone
+		b.later(readerWakes, reducer.Uploaded{Call: e.Call.ID}) // bodies take no time here
 	}
 	k.busy, k.flows, k.ask, k.shot, k.stall, k.flow = true, false, nil, e.Call.OneShot, e.Stall, e.FlowStall
 	k.link.Send(a.Op, a.ID, e.Wait)
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -209,8 +209,9 @@
 	r.oracle.Close()
 }
 
-// afterwards is added to the longest time that a request can still take once the last has come.
-const afterwards = time.Second
+// afterwards is added to the longest time that a request can still take once the last has come: longer than an app node is
+// waited for that has stopped in the middle of an answer.
+const afterwards = 12 * time.Second
 
 // finish lets all that was asked for be answered, and then all that is left without use be given back.
 func (r *run) finish() {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -13,6 +13,7 @@
 	Request *http.Request // method, target and header
 	Body    []byte
 	Upload  *flow.Upload // in place of Body, where that is too large to be held
+	Trailer http.Header  // of an upload in chunks: filled by the time its body has come to its end
 }
 
 // Answer is an app node's answer for the client.
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"pewterrudder/brain"
 )
@@ -9,7 +10,7 @@
 func (r *Reducer) onArrived(in *Call) {
 	// The node knows calls by numbers of ours: a client that sends the same id again, as it may after a
 	// closed connection, must not meet what is left of the first.
-	c := &call{Call: in, deadline: in.Deadline - answerMargin, brainID: strconv.FormatUint(in.ID, 10)}
+	c := &call{Call: in, deadline: in.Deadline - answerMargin, came: r.now, wait: in.Deadline - r.now, brainID: strconv.FormatUint(in.ID, 10)}
 	c.pool = r.poolOf(in)
 	c.pool.open++
 	r.counts.Taken++
@@ -30,7 +31,7 @@
 		r.answer(c, r.refusal())
 		return
 	}
-	r.emit(Arm{max(0, c.deadline-r.now), deadline{c.ID}})
+	r.armDeadline(c)
 	if !c.waiting {
 		r.admit(c)
 	}
@@ -47,7 +48,7 @@
 	}
 	first, later := r.boundOf(c)
 	r.tell(c.pool, &brain.Request{First: first, Later: later, ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
-		Work: c.Work, Deadline: c.deadline})
+		Work: c.Work, Deadline: c.deadline, Upload: c.OneShot})
 }
 
 // settle frees the client's id of a call that is over. Those that wait behind it are copies, unless it was the
@@ -109,6 +110,9 @@
 	if c == nil {
 		return
 	}
+	if c.open || r.now < c.deadline {
+		return // the time of an upload does not run yet, or has begun anew
+	}
 	for _, d := range c.delegations {
 		if !d.over && d != c.flow {
 			r.abandon(d)
@@ -126,6 +130,30 @@
 	r.forget(c)
 }
 
+// onUploaded: the last byte of a body has come, and the time of its call counts from there.
+func (r *Reducer) onUploaded(c *call, last time.Duration) {
+	if !c.open {
+		return
+	}
+	for _, d := range c.delegations {
+		if !d.over {
+			d.sent = r.now
+		}
+	}
+	r.restart(c, max(last, c.came))
+	r.tell(c.pool, &brain.Uploaded{ID: c.brainID, Deadline: c.deadline})
+}
+
+// restart has the time of an upload run from a moment on.
+func (r *Reducer) restart(c *call, from time.Duration) {
+	c.open, c.deadline = false, from+c.wait-answerMargin
+	r.armDeadline(c)
+}
+
+func (r *Reducer) armDeadline(c *call) {
+	r.emit(Arm{max(0, c.deadline-r.now), deadline{c.ID}})
+}
+
 // answer gives the final answer; the first wins.
 func (r *Reducer) answer(c *call, reply Reply) {
 	if c == nil || c.over() {
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -69,9 +69,16 @@
 
 func (r *Reducer) exchange(k *conn, d *delegation) {
 	k.state, k.delg, d.conn = busy, d, k
-	d.shot = d.call.OneShot
+	wait := d.call.deadline - r.now
+	if d.shot = d.call.OneShot; d.shot {
+		d.call.open, wait = true, d.call.wait // which the app node counts from the last byte, too
+	}
 	stall := r.stalls[d.call.Class].Wait()
-	r.emit(Exchange{k.id, d.call.Call, d.call.deadline - r.now, stall, flowStalls * stall})
+	flows := flowStalls * stall
+	if !r.stallFixed {
+		flows = max(flows, flowStallLeast)
+	}
+	r.emit(Exchange{k.id, d.call.Call, wait, stall, flows})
 }
 
 // spent is the answer to a call whose body is gone, so that nothing can be sent for it any more.
@@ -138,6 +145,9 @@
 	c := d.call
 	k.delg, d.conn = nil, nil
 	d.shot = d.shot && e.Spent
+	if c.open && !d.shot {
+		r.restart(c, c.came) // nothing of it has gone out
+	}
 	none := e.Result == Broke || e.Result == Stalled
 	if !none && e.Reuse && e.Written == Whole {
 		r.rest(k)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -47,9 +47,11 @@
 	idsMost = 20000
 	// An answer that stops in its middle is first waited for half the class's aim, later for what has been learned: at
 	// least a tenth of the aim, so that a moment's pause of a machine is forgiven, at most half the deadline. Once it
-	// flows, no other app node can be asked any more, and the wait is four times as long.
+	// flows, no other app node can be asked any more: the wait is four times as long, and some seconds at the least, since
+	// what an app node still gives must not be cut off.
 	stallFirst, stallLeast, stallMost = 0.5, 0.1, 0.5
 	flowStalls                        = 4
+	flowStallLeast                    = 10 * time.Second
 	// sayBrokenEvery bounds the lines on answers that broke off in their middle.
 	sayBrokenEvery = time.Second
 )
@@ -64,7 +66,7 @@
 	Key      string
 	Work     float64
 	Deadline time.Duration // when the client leaves, on the node's clock
-	OneShot  bool          // its body is read off the client's connection as it is sent: once
+	OneShot  bool          // its body is read off the client's connection as it is sent: once; its time counts from Uploaded
 	Message  any           // for the delegation
 }
 
@@ -103,6 +105,12 @@
 	}
 	// Arrived: a call was read whole.
 	Arrived struct{ Call *Call }
+	// Uploaded: the last byte of a OneShot body has been read off the client's connection. It came at Last or later: what
+	// waits in a socket may have done so for a while.
+	Uploaded struct {
+		Call uint64
+		Last time.Duration
+	}
 	// ClientGone: the client's connection ended before the answer.
 	ClientGone struct{ Call uint64 }
 	// Dialed: a connection was made, or not.
@@ -308,6 +316,9 @@
 	*Call
 	pool        *pool
 	deadline    time.Duration // of ours
+	came        time.Duration
+	wait        time.Duration // of the client's, from the last byte of its body
+	open        bool          // its body is on its way to an app node: no time runs
 	brainID     string
 	delegations []*delegation
 	out         int
@@ -376,7 +387,8 @@
 	sweeping, readied bool
 	sayFullAt         time.Duration
 	stalls            []*patience.Estimator // by class
-	broken            int                   // answers that broke off in their middle, not yet said
+	stallFixed        bool
+	broken            int // answers that broke off in their middle, not yet said
 	sayBrokenAt       time.Duration
 }
 
@@ -437,6 +449,7 @@
 // FixStall sets how long an answer that stops in its middle is waited for, in place of what would be learned. It
 // belongs before the first event.
 func (r *Reducer) FixStall(wait time.Duration) {
+	r.stallFixed = true
 	for i := range r.stalls {
 		r.stalls[i] = patience.Fixed(wait)
 	}
@@ -486,6 +499,10 @@
 		if c := r.calls[e.Call]; c != nil && !c.done {
 			r.onClientGone(c)
 		}
+	case Uploaded:
+		if c := r.calls[e.Call]; c != nil {
+			r.onUploaded(c, e.Last)
+		}
 	case Dialed:
 		r.onDialed(e)
 	case Flowing:
@@ -641,6 +658,7 @@
 func (Started) event()     {}
 func (Reloaded) event()    {}
 func (Arrived) event()     {}
+func (Uploaded) event()    {}
 func (ClientGone) event()  {}
 func (Dialed) event()      {}
 func (Flowing) event()     {}
