Take settings that change at SIGHUP, whole or not at all, with calls under way

Design: a file is read and checked once; it is turned down if it lacks a key that the one in force has, or holds figures without sense (config_rejected, and a line that names the key). A class stands at a place of its own by which calls, the module and the learned waits know it; a class whose definition changes gets another place, so that calls under way keep theirs (effect, deadline, window). Places are given away again a minute after their last call. The module hears Retuned and keeps what it has learned of app nodes by the classes' names; the acceptor and the readers of load reports take the new terms as an effect, after the module has them. Fewer attempts hold at once, also for calls under way.

Ways not taken: a new module beside the old (what was learned would be lost, and two would judge the same app nodes); places by the order of the file (calls under way would change their class).

--- a/brain/api.go
+++ b/brain/api.go
@@ -41,6 +41,7 @@
 	Deadline time.Duration // the client's patience over all its tries
 	Worth    float64
 	Late     float64 // share of the worth left after the aim
+	Gone     bool    // no request of it comes any more; some may be under way
 	Stream   bool    // the answer is a stream; Begun events are sent
 }
 
@@ -99,7 +100,7 @@
 	FallFor        time.Duration
 }
 
-// Settings are fixed for the life of a Balancer.
+// Settings are in force until Retuned brings others.
 type Settings struct {
 	Nodes   int // nodes in front of the same fleet
 	Zone    string
@@ -263,6 +264,10 @@
 	Deadline time.Duration
 }
 
+// Retuned puts other settings in force. A class keeps its place for as long as a request of it is under way, and what has
+// been learned of it for as long as it has its name. Settings that New would refuse must not be told.
+type Retuned struct{ Settings Settings }
+
 // ClientGone ends a request without an answer owed.
 type ClientGone struct{ ID string }
 
@@ -282,6 +287,7 @@
 func (*AttemptEnded) event() {}
 func (*StreamBegun) event()  {}
 func (*Uploaded) event()     {}
+func (*Retuned) event()      {}
 func (*ClientGone) event()   {}
 func (*ProbeEnded) event()   {}
 func (*TimerFired) event()   {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,8 +12,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // ---- tunables ----
@@ -187,17 +185,53 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6d616c6c6f77)), byID: map[string]*server{},
-		kinds: map[string]float64{}, reqs: map[string]*request{}, tenants: make([]float64, len(cfg.Tenants))}
-	for i, c := range cfg.Classes {
-		n.classes = append(n.classes, classState{Class: c,
-			mean: c.Aim.Seconds() / 3, dev: c.Aim.Seconds() / 6})
-		n.anySafe = n.anySafe || c.Repeat == Safe
-		n.meanTime += n.classes[i].mean / float64(len(cfg.Classes))
+	n := &Node{rng: rand.New(rand.NewPCG(seed, 0x6d616c6c6f77)), byID: map[string]*server{},
+		kinds: map[string]float64{}, reqs: map[string]*request{}}
+	n.tune(cfg)
+	for i := range n.classes {
+		n.meanTime += n.classes[i].mean / float64(len(n.classes))
 	}
 	return n, nil
 }
 
+// tune puts settings in force and keeps what has been learned: of a class and of each server for it, by its
+// name, and by its place too for the requests under way. A place goes to another class once it has none.
+func (n *Node) tune(cfg Settings) {
+	old, tenants, known := n.classes, n.tenants, n.cfg.Tenants
+	n.cfg, n.classes, n.tenants, n.anySafe = cfg, nil, make([]float64, len(cfg.Tenants)), false
+	from := make([]int, len(cfg.Classes))
+	for i, c := range cfg.Classes {
+		named := func(k classState) bool { return k.Name == c.Name }
+		if from[i] = i; i >= len(old) || !named(old[i]) {
+			from[i] = slices.IndexFunc(old, named)
+		}
+		k := classState{mean: c.Aim.Seconds() / 3, dev: c.Aim.Seconds() / 6}
+		if from[i] >= 0 {
+			k = old[from[i]]
+		}
+		k.Class = c
+		n.classes = append(n.classes, k)
+		n.anySafe = n.anySafe || c.Repeat == Safe && !c.Gone
+	}
+	for i, t := range cfg.Tenants {
+		if j := slices.IndexFunc(known, func(o Tenant) bool { return o.Name == t.Name }); j >= 0 {
+			n.tenants[i] = tenants[j]
+		}
+	}
+	for _, s := range n.byID {
+		by := make([]health, len(from))
+		for i, j := range from {
+			if j >= 0 {
+				by[i] = s.by[j]
+			}
+			if j != i {
+				by[i].inflight = 0
+			}
+		}
+		s.by = by
+	}
+}
+
 // Handle takes one event and appends the actions it calls for.
 func (n *Node) Handle(now time.Duration, ev Event, actions []Action) []Action {
 	n.now, n.out = now, actions
@@ -215,6 +249,9 @@
 		n.onProbe(e)
 	case *TimerFired:
 		n.onTimer(e.Cookie)
+	case *Retuned:
+		n.tune(e.Settings)
+		n.rerank()
 	case *Uploaded:
 		n.onUploaded(e)
 	case *ClientGone:
@@ -559,34 +596,6 @@
 	return x
 }
 
-func total(x []float64) (sum float64) {
-	for _, v := range x {
-		sum += v
-	}
-	return sum
-}
-
-// dispersion is the paper's index I = SCV * (1 + 2 * sum of autocorrelations).
-func dispersion(x []float64) float64 {
-	mean := total(x) / float64(len(x))
-	var square float64
-	for _, v := range x {
-		square += (v - mean) * (v - mean)
-	}
-	if mean <= 0 || square <= 0 {
-		return 0
-	}
-	rho := 0.0
-	for lag := 1; lag <= detectLags && lag < len(x); lag++ {
-		c := 0.0
-		for i := lag; i < len(x); i++ {
-			c += (x[i] - mean) * (x[i-lag] - mean)
-		}
-		rho += c / square
-	}
-	return max(0, square/float64(len(x))/(mean*mean)*(1+2*rho))
-}
-
 // ---- pick ----
 
 // pick is the paper's rule: one of the K lowest figures, uniformly. The guards leave candidates out.
@@ -625,11 +634,6 @@
 
 // ---- affinity ----
 
-type place struct {
-	at  uint64
-	srv *server
-}
-
 // home is the exception for services whose servers need less work for a key met lately. Acts where the
 // settings say so and the request has a key: it goes to the key's place on a ring of all servers, the same at
 // every node, unless that server is barred, silent or crowded; then to the next place, then the ordinary way.
@@ -665,31 +669,16 @@
 	return nil
 }
 
-func (n *Node) buildRing() {
-	size := 0.0
-	for _, s := range n.fleet {
-		size += s.size / float64(len(n.fleet))
-	}
-	for _, s := range n.fleet {
-		for i := range max(1, int(homePoints*s.size/size+0.5)) {
-			n.ring = append(n.ring, place{hash(s.Server, uint64(i)+1), s})
-		}
-	}
-	slices.SortFunc(n.ring, func(a, b place) int { return cmp.Compare(a.at, b.at) })
-}
-
-// hash: all nodes must agree on it.
-func hash(text string, salt uint64) uint64 {
-	d := xxhash.NewWithSeed(salt)
-	d.WriteString(text)
-	return d.Sum64()
-}
-
 // ---- guards ----
 
 // usable: in service and not ejected for every class. Acts for every server, ordinary path or not.
 func (n *Node) usable(s *server) bool {
-	return s.State == Ready && slices.ContainsFunc(s.by, func(h health) bool { return h.ejectUntil <= n.now })
+	for i := range s.by {
+		if s.by[i].ejectUntil <= n.now && !n.classes[i].Gone {
+			return s.State == Ready
+		}
+	}
+	return false
 }
 
 // allowed: may this request go to this server now? Rules 2 to 4 and the temporary refusals.
@@ -1241,7 +1230,7 @@
 		c.limit = c.Aim.Seconds() / c.mean
 		rank := aimShare
 		for j := range n.classes {
-			if d := &n.classes[j]; n.value(j) > n.value(i) {
+			if d := &n.classes[j]; !d.Gone && n.value(j) > n.value(i) {
 				c.limit = min(c.limit, d.Aim.Seconds()/d.mean)
 				rank *= rankShare
 			}
--- /dev/null
+++ b/brain/ring.go
@@ -0,0 +1,36 @@
+package brain
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The ring of keys' places, the same at every node. Whether a key's place is used is decided in home (brain.go).
+
+type place struct {
+	at  uint64
+	srv *server
+}
+
+// buildRing gives each server places by its size.
+func (n *Node) buildRing() {
+	size := 0.0
+	for _, s := range n.fleet {
+		size += s.size / float64(len(n.fleet))
+	}
+	for _, s := range n.fleet {
+		for i := range max(1, int(homePoints*s.size/size+0.5)) {
+			n.ring = append(n.ring, place{hash(s.Server, uint64(i)+1), s})
+		}
+	}
+	slices.SortFunc(n.ring, func(a, b place) int { return cmp.Compare(a.at, b.at) })
+}
+
+// hash: all nodes must agree on it.
+func hash(text string, salt uint64) uint64 {
+	d := xxhash.NewWithSeed(salt)
+	d.WriteString(text)
+	return d.Sum64()
+}
--- a/brain/sight.go
+++ b/brain/sight.go
@@ -40,7 +40,7 @@
 		return true
 	}
 	for i := range s.by {
-		if h := &s.by[i]; h.ejectUntil <= n.now && h.shedUntil <= n.now {
+		if h := &s.by[i]; !n.classes[i].Gone && h.ejectUntil <= n.now && h.shedUntil <= n.now {
 			return false
 		}
 	}
--- a/cmd/pewterrudder/layout.go
+++ b/cmd/pewterrudder/layout.go
@@ -36,7 +36,7 @@
 	fallback := max(0, s.DefaultPool())
 	l.Route = func(c *reducer.Call) int {
 		r := c.Message.(*message.Call).Request
-		entry := table.Match(r.Host, routes.PathOf(r.RequestURI), r.Method, classes[c.Class])
+		entry := table.Match(r.Host, routes.PathOf(r.RequestURI), r.Method, r.Header.Get("X-Class"))
 		if entry == routes.None {
 			return fallback
 		}
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -10,9 +10,9 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"syscall"
 	"time"
 
@@ -155,6 +155,15 @@
 					able <- struct{}{}
 				case reducer.Log:
 					log.Print(e.Text)
+				case reducer.Retuned:
+					next := e.Tag.(*config.Settings)
+					terms := acceptor.Terms{Classes: e.Places}
+					_, terms.Tenants = next.Names()
+					for i := range e.Classes {
+						terms.Deadlines = append(terms.Deadlines, e.Classes[i].Deadline)
+					}
+					front.Retune(terms)
+					nodes.Retune(next.Stats.Columns)
 				case reducer.Turn:
 					front.Turn(e.Away)
 					standing.away.Store(e.Away)
@@ -198,9 +207,10 @@
 			return err
 		case <-reload:
 			// A file with a fault must not cost the service: the old configuration stays in force.
-			next, err := config.Load(env)
+			next, err := cfg.Reload(env)
 			if err != nil {
 				log.Printf("reload: %v; the old configuration stays", err)
+				post(reducer.TurnedDown{})
 				continue
 			}
 			for _, key := range cfg.Fixed(next) {
@@ -208,7 +218,11 @@
 			}
 			log.Printf("reload: discovery is %s", next.Discovery)
 			moved := reducer.Reloaded{Discovery: next.Discovery}
-			if !samePools(cfg, next) {
+			retuned := !reflect.DeepEqual(cfg.Settings, next.Settings)
+			if retuned {
+				moved.Settings, moved.Tag = &next.Brain, next.Settings
+			}
+			if !samePools(cfg, next) || retuned && len(next.Service.Routes) > 0 {
 				divided, err := layout(next)
 				if err != nil {
 					log.Printf("reload: settings file: %v; the old pools stay", err)
@@ -217,7 +231,11 @@
 					cfg.Service.Routes, cfg.Service.Pools, cfg.Service.Zones = next.Service.Routes, next.Service.Pools, next.Service.Zones
 				}
 			}
+			cfg.Keep(next)
 			post(moved)
+			if retuned {
+				log.Printf("reload: settings with %d classes and %d attempts", len(next.Brain.Classes), next.Brain.MaxAttempts)
+			}
 			if moved.Layout != nil { // from here on calls go by the new ones
 				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(moved.Layout.Pools))
 			}
@@ -227,7 +245,7 @@
 			others.show(eureka.OutOfService)
 			term = nil   // once is enough
 			served = nil // the listener ends by itself now
-			go func() { front.Drain(slices.Max(deadlines)); close(drained) }()
+			go func() { front.Drain(front.Longest()); close(drained) }()
 		case <-drained:
 			log.Print("drained")
 			return nil
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -44,13 +44,12 @@
 
 // Acceptor serves clients.
 type Acceptor struct {
-	now       func() time.Duration
-	post      func(reducer.Event)
-	classes   map[string]int
-	tenants   map[string]int
-	deadlines []time.Duration // of the classes
-	server    *http.Server
-	conns     *clients
+	now     func() time.Duration
+	post    func(reducer.Event)
+	terms   atomic.Pointer[Terms]
+	server  *http.Server
+	conns   *clients
+	longest time.Duration // of the deadlines at the start
 
 	ready, draining, away atomic.Bool
 	lastCall              atomic.Uint64
@@ -59,6 +58,19 @@
 	bounds                Bounds
 }
 
+// Terms are what a request may say of itself: classes and tenants by name with their places, and the classes' deadlines by
+// place, which no call outlasts.
+type Terms struct {
+	Classes, Tenants map[string]int
+	Deadlines        []time.Duration
+}
+
+// Retune puts other terms in force for the requests that are read from now on.
+func (a *Acceptor) Retune(t Terms) { a.terms.Store(&t) }
+
+// Longest is the longest deadline in force.
+func (a *Acceptor) Longest() time.Duration { return slices.Max(a.terms.Load().Deadlines) }
+
 // Bounds of the bodies that flow.
 type Bounds struct {
 	Upload     int64         // the longest body taken from a client; up to flow.Hold it is held whole
@@ -69,9 +81,10 @@
 // longer than its deadline.
 func New(now func() time.Duration, post func(reducer.Event), classes, tenants map[string]int,
 	deadlines []time.Duration, budget, kept int, bounds Bounds) *Acceptor {
-	a := &Acceptor{now: now, post: post, classes: classes, tenants: tenants, deadlines: deadlines, bounds: bounds,
-		conns: newClients(budget, kept), waiting: map[uint64]chan reducer.Reply{}}
 	longest := slices.Max(deadlines)
+	a := &Acceptor{now: now, post: post, bounds: bounds, longest: longest,
+		conns: newClients(budget, kept), waiting: map[uint64]chan reducer.Reply{}}
+	a.Retune(Terms{classes, tenants, deadlines})
 	proxy := &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.RawQuery = p.In.URL.RawQuery // undo the clean-up: a call passes on as it is
@@ -105,6 +118,9 @@
 				a.broken(w, r, err)
 				return
 			}
+			if call.Deadline-a.now() > a.longest { // than the server knows of
+				http.NewResponseController(w).SetWriteDeadline(time.Now().Add(call.Deadline - a.now() + writePatience))
+			}
 			up := call.Message.(*message.Call).Upload
 			if up != nil {
 				defer up.Close() // before net/http looks at the body again
--- a/internal/acceptor/read.go
+++ b/internal/acceptor/read.go
@@ -15,6 +15,7 @@
 
 // read checks a request and reads its body. What fails here never goes to an app node.
 func (a *Acceptor) read(w http.ResponseWriter, r *http.Request) (*reducer.Call, error) {
+	terms := a.terms.Load()
 	bad := func(text string) (*reducer.Call, error) { return nil, &refused{http.StatusBadRequest, text} }
 	// net/http takes Transfer-Encoding over a Content-Length and drops the latter (HTTP/1.0: the reverse), so a body
 	// that was framed both ways cannot be told apart here, and may hide another request behind its end. What has come on the
@@ -30,7 +31,7 @@
 	if id == "" {
 		return bad("X-Request-Id is missing")
 	}
-	class, ok := a.classes[r.Header.Get("X-Class")]
+	class, ok := terms.Classes[r.Header.Get("X-Class")]
 	if !ok {
 		return bad("X-Class is missing or unknown")
 	}
@@ -38,7 +39,7 @@
 	if !ok {
 		return bad("X-Deadline is missing or malformed")
 	}
-	tenant, ok := a.tenants[r.Header.Get("X-Tenant")]
+	tenant, ok := terms.Tenants[r.Header.Get("X-Tenant")]
 	if !ok {
 		tenant = -1
 	}
@@ -55,7 +56,7 @@
 	out.Trailer = r.Trailer
 	return &reducer.Call{ID: call, ClientID: strings.Clone(id), Class: class, Tenant: tenant, Retry: r.Header.Get("X-Retry") == "1",
 		Key: r.URL.Query().Get("key"), Work: float64(work) / float64(time.Millisecond), Message: out, OneShot: out.Upload != nil,
-		Deadline: a.now() + min(wait, a.deadlines[class])}, nil // nobody waits longer, and no timer should
+		Deadline: a.now() + min(wait, terms.Deadlines[class])}, nil // nobody waits longer, and no timer should
 }
 
 // body reads a body within the connection's read deadline, or leaves one that is too large to be held to whoever sends
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,6 +83,11 @@
 	} `json:"goal"`
 }
 
+const (
+	attemptsMost   = 100       // further ones can only be a slip
+	deadlineMostMs = 3_600_000 // an hour: nobody waits longer
+)
+
 // required names the settings without which no node can decide.
 var required = []string{"balancers", "categories", "discovery", "limits", "rules", "stats", "weights", "zone"}
 
@@ -133,13 +138,14 @@
 		return bad("balancers", c.Balancers)
 	case len(c.Categories) == 0:
 		return errors.New("conf: categories is empty")
-	case l.MaxAttempts < 1:
+	case l.MaxAttempts < 1 || l.MaxAttempts > attemptsMost:
 		return bad("limits.max_attempts", l.MaxAttempts)
 	case r.ColdMs > 0 && (r.ColdFrom <= 0 || r.ColdFrom > 1):
 		return bad("rules.cold_from", r.ColdFrom)
 	case r.ColdMs > 0 && r.OverloadFactor <= 0:
 		return bad("rules.overload_factor", r.OverloadFactor)
 	}
+	named := map[string]bool{}
 	for i := range c.Categories {
 		k := &c.Categories[i]
 		at := "categories[" + strconv.Itoa(i) + "]."
@@ -148,11 +154,14 @@
 			return errors.New("conf: " + at + "name is missing")
 		case k.AimMs <= 0:
 			return bad(at+"aim_ms", k.AimMs)
-		case k.DeadlineMs <= 0:
+		case named[k.Name]:
+			return errors.New("conf: " + at + "name: there are two of the name " + k.Name)
+		case k.DeadlineMs <= 0 || k.DeadlineMs > deadlineMostMs:
 			return bad(at+"deadline_ms", k.DeadlineMs)
 		case k.Semantics == "keyed" && k.WindowMs <= 0:
 			return bad(at+"window_ms", k.WindowMs)
 		}
+		named[k.Name] = true
 	}
 	for i := range c.Tenants {
 		if c.Tenants[i].Quota < 0 {
@@ -297,6 +306,7 @@
 	Known     json.RawMessage `json:"known"`    // a list in discovery's form
 	Raw       json.RawMessage `json:"settings"` // see Settings
 
+	text     []byte         // of the file
 	Settings *Settings      `json:"-"`
 	Service  Service        `json:"-"` // of the settings file
 	Brain    brain.Settings `json:"-"`
@@ -314,7 +324,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
-	c := new(Config)
+	c := &Config{text: raw}
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
@@ -339,7 +349,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"control", c.Control == next.Control}, {"limits", c.Limits == next.Limits},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}, {"flow, in the settings file,", c.Service.Flow == next.Service.Flow},
+		{"flow, in the settings file,", c.Service.Flow == next.Service.Flow},
 		{"roster, in the settings file,", reflect.DeepEqual(c.Service.Roster, next.Service.Roster)},
 		{"box, in the settings file,", c.Service.Box == next.Service.Box}} {
 		if !k.same {
--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -35,7 +35,7 @@
 // Connections is the set of sockets. Its methods are called by the goroutine that drives the reducer alone.
 type Connections struct {
 	post    func(reducer.Event)
-	columns []string // of a load report, as the settings name them
+	columns atomic.Pointer[[]string] // of a load report, as the settings name them
 	bounds  Bounds
 	conns   map[uint64]*conn
 	written atomic.Uint64
@@ -46,9 +46,14 @@
 
 // New makes an empty set; post takes the events, columns are the settings' names of a report's values.
 func New(post func(reducer.Event), columns []string, bounds Bounds) *Connections {
-	return &Connections{post: post, columns: columns, bounds: bounds, conns: map[uint64]*conn{}}
+	c := &Connections{post: post, bounds: bounds, conns: map[uint64]*conn{}}
+	c.Retune(columns)
+	return c
 }
 
+// Retune has load reports read by other columns from now on.
+func (c *Connections) Retune(columns []string) { c.columns.Store(&columns) }
+
 // conn is one socket. nc is set before Dialed is posted and never after.
 type conn struct {
 	id  uint64
--- a/internal/delegation/report.go
+++ b/internal/delegation/report.go
@@ -13,11 +13,12 @@
 
 // report reads a load report in the order of the settings' columns; nil if it lacks one or is garbled.
 func (c *Connections) report(text string) []float64 {
-	if text == "" || len(c.columns) == 0 {
+	columns := *c.columns.Load()
+	if text == "" || len(columns) == 0 {
 		return nil
 	}
-	values := make([]float64, len(c.columns))
-	for i, column := range c.columns {
+	values := make([]float64, len(columns))
+	for i, column := range columns {
 		found := false
 		for field := range strings.SplitSeq(text, ",") {
 			name, value, _ := strings.Cut(field, "=")
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -13,6 +13,7 @@
 	c := &call{Call: in, deadline: in.Deadline - answerMargin, came: r.now, wait: in.Deadline - r.now, brainID: strconv.FormatUint(in.ID, 10)}
 	c.pool = r.poolOf(in)
 	c.pool.open++
+	r.places[c.Class].open++
 	r.counts.Taken++
 	r.calls[in.ID], r.byBrain[c.brainID] = c, c
 	if first := r.byClient[c.ClientID]; first != nil {
@@ -170,6 +171,7 @@
 	if c.done && c.out == 0 && r.calls[c.ID] == c {
 		delete(r.calls, c.ID)
 		delete(r.byBrain, c.brainID)
+		r.places[c.Class].open--
 		if c.pool.open--; c.pool.open == 0 && c.pool.retired {
 			r.retire()
 		}
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -75,7 +75,7 @@
 	}
 	stall := r.stalls[d.call.Class].Wait()
 	flows := flowStalls * stall
-	if !r.stallFixed {
+	if r.stallFixed == 0 {
 		flows = max(flows, flowStallLeast)
 	}
 	r.emit(Exchange{k.id, d.call.Call, wait, stall, flows})
--- a/internal/reducer/pools.go
+++ b/internal/reducer/pools.go
@@ -98,6 +98,9 @@
 	for i, spec := range l.Pools {
 		if next[i] == nil {
 			next[i] = r.addPool(spec)
+			if r.retuned {
+				r.retunePool(next[i])
+			}
 		}
 		next[i].PoolSpec = spec
 		r.zoned = r.zoned || regions[i] != nil
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -98,11 +98,15 @@
 		Discovery string
 		Figures   bool // they are to be published
 	}
-	// Reloaded: a new configuration is in force. Without a layout the one there is stays.
+	// Reloaded: a new configuration is in force. Without a layout or settings those there are stay.
 	Reloaded struct {
 		Discovery string
 		Layout    *Layout
+		Settings  *brain.Settings
+		Tag       any // comes back with Retuned
 	}
+	// TurnedDown: a new configuration was not taken.
+	TurnedDown struct{}
 	// Arrived: a call was read whole.
 	Arrived struct{ Call *Call }
 	// Uploaded: the last byte of a OneShot body has been read off the client's connection. It came at Last or later: what
@@ -369,6 +373,9 @@
 	avoided, avoiding, avoidAt int // servers: by the last walk; by the one under way, and where it is
 	applied, rejected          uint64
 
+	places  []place // of classes
+	retuned bool    // the settings are no more those of the start
+
 	away     bool // clients are sent away
 	awayFrom time.Duration
 	turn     uint64          // how often that has changed
@@ -387,8 +394,8 @@
 	sweeping, readied bool
 	sayFullAt         time.Duration
 	stalls            []*patience.Estimator // by class
-	stallFixed        bool
-	broken            int // answers that broke off in their middle, not yet said
+	stallFixed        time.Duration         // 0: they learn
+	broken            int                   // answers that broke off in their middle, not yet said
 	sayBrokenAt       time.Duration
 }
 
@@ -438,20 +445,18 @@
 		return nil, err
 	}
 	for i := range cfg.Classes {
-		c := &cfg.Classes[i]
-		part := func(of time.Duration, share float64) time.Duration { return time.Duration(share * float64(of)) }
-		most := part(c.Deadline, stallMost)
-		r.stalls = append(r.stalls, patience.New(min(part(c.Aim, stallFirst), most), min(part(c.Aim, stallLeast), most), most))
+		r.stalls = append(r.stalls, r.stallOf(&cfg.Classes[i]))
 	}
+	r.places = make([]place, len(cfg.Classes))
 	return r, nil
 }
 
 // FixStall sets how long an answer that stops in its middle is waited for, in place of what would be learned. It
 // belongs before the first event.
 func (r *Reducer) FixStall(wait time.Duration) {
-	r.stallFixed = true
+	r.stallFixed = wait
 	for i := range r.stalls {
-		r.stalls[i] = patience.Fixed(wait)
+		r.stalls[i] = r.stallOf(&r.cfg.Classes[i])
 	}
 }
 
@@ -478,7 +483,13 @@
 		if !r.cfg.AskDiscovery {
 			r.openWatch()
 		}
+	case TurnedDown:
+		r.rejected++
 	case Reloaded:
+		r.applied++
+		if e.Settings != nil {
+			r.onRetuned(*e.Settings, e.Tag)
+		}
 		// Discovery has moved: the new one is asked at once, without the node's pause, since what it has to
 		// tell counts as told soon. The list in hand stays until the new one has spoken. Versions are each
 		// discovery's own, so the whole list is asked for.
@@ -657,6 +668,7 @@
 
 func (Started) event()     {}
 func (Reloaded) event()    {}
+func (TurnedDown) event()  {}
 func (Arrived) event()     {}
 func (Uploaded) event()    {}
 func (ClientGone) event()  {}
--- /dev/null
+++ b/internal/reducer/retune_test.go
@@ -0,0 +1,125 @@
+package reducer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pewterrudder/brain"
+)
+
+// retuned puts settings in force and gives the places of classes.
+func (w *world) retuned(s brain.Settings) (places map[string]int, classes []brain.Class) {
+	w.t.Helper()
+	for _, e := range w.do(Reloaded{Discovery: "d:1", Settings: &s, Tag: "tag"}) {
+		if e, ok := e.(Retuned); ok && e.Tag == "tag" {
+			return e.Places, e.Classes
+		}
+	}
+	w.t.Fatalf("nobody was told")
+	return nil, nil
+}
+
+// A call keeps the class that it came with, whatever becomes of its name: one of a class that may be repeated is still
+// repeated after the class has become one that may not, and new calls of that name are not.
+func TestACallKeepsItsClass(t *testing.T) {
+	w := newWorld(t, 8, "a:1", "a:2")
+	w.warm()
+	old := w.call(0, 600*ms)
+	next := settings()
+	next.Classes = slices.Clone(next.Classes)
+	next.Classes[0].Repeat = brain.Unsafe
+	name := next.Classes[0].Name
+	places, classes := w.retuned(next)
+	at := places[name]
+	if at == 0 || !classes[0].Gone || classes[at].Repeat != brain.Unsafe || classes[at].Gone {
+		t.Fatalf("%v, %+v", places, classes)
+	}
+	for _, id := range w.in(dialing) {
+		w.dialed(id, nil)
+	}
+	breaks := func(call uint64) (again bool) {
+		for conn, c := range w.onto {
+			if c == call && w.conns[conn] == busy {
+				w.exchanged(Exchanged{Conn: conn, Written: Whole, Err: errDown})
+			}
+		}
+		return w.calls[call].answers == 0
+	}
+	if !breaks(old) {
+		t.Error("a call under way was not repeated, though its class may be")
+	}
+	fresh := w.call(at, 600*ms)
+	for _, id := range w.in(dialing) {
+		w.dialed(id, nil)
+	}
+	if breaks(fresh) || w.calls[fresh].reply.Kind != Failed {
+		t.Errorf("a call that may not be repeated: %+v", w.calls[fresh])
+	}
+	f := w.r.tallies[name]
+	if f == nil || f.errors != 1 {
+		t.Errorf("counted by another name: %+v", w.r.tallies)
+	}
+}
+
+// A place is given to another class only when no call has the old one and none can be on its way, and settings may change
+// for ever without the places growing in number.
+func TestPlacesAreGivenAwayAgain(t *testing.T) {
+	w := newWorld(t, 4, "a:1")
+	held := w.call(0, 600*ms)
+	class := func(name string) brain.Settings {
+		s := settings()
+		c := s.Classes[0]
+		c.Name = name
+		s.Classes = []brain.Class{c}
+		return s
+	}
+	places, _ := w.retuned(class("new"))
+	if places["new"] < 2 {
+		t.Fatalf("%v: a place with a call was given away", places)
+	}
+	w.gone(held)
+	w.pass(placeRests + time.Second)
+	most := 0
+	for i := range 200 {
+		places, classes := w.retuned(class(string(rune('a' + i%26))))
+		most = max(most, len(classes))
+		if len(places) != 1 {
+			t.Fatalf("%v", places)
+		}
+		id := w.call(places[string(rune('a'+i%26))], 600*ms)
+		w.pass(placeRests)
+		if w.calls[id].answers != 1 {
+			t.Fatalf("call %d was not answered", id)
+		}
+	}
+	if most > 6 {
+		t.Errorf("%d places for one class", most)
+	}
+}
+
+// Fewer attempts hold for calls under way too.
+func TestFewerAttemptsHoldAtOnce(t *testing.T) {
+	w := newWorld(t, 8, "a:1", "a:2", "a:3")
+	w.warm()
+	id := w.call(0, 600*ms)
+	next := settings()
+	next.MaxAttempts = 1
+	w.retuned(next)
+	for _, c := range w.in(dialing) {
+		w.dialed(c, errDown)
+	}
+	for conn, c := range w.onto {
+		if c == id && w.conns[conn] == busy {
+			w.exchanged(Exchanged{Conn: conn, Written: Whole, Err: errDown})
+		}
+	}
+	w.pass(time.Second)
+	if n := len(w.in(busy)) + len(w.in(dialing)); n != 0 || w.calls[id].answers != 1 {
+		t.Errorf("%d attempts go on, %+v", n, w.calls[id])
+	}
+	w.do(TurnedDown{})
+	if w.r.applied != 1 || w.r.rejected != 1 {
+		t.Errorf("%d taken, %d turned down", w.r.applied, w.r.rejected)
+	}
+}
