--- a/cmd/pewterrudder/counter.go
+++ b/cmd/pewterrudder/counter.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"log"
 	"net"
+	"os"
+	"runtime/debug"
 	"sync/atomic"
+	"time"
 
 	"pewterrudder/internal/acceptor"
 	"pewterrudder/internal/admin"
+	"pewterrudder/internal/beside"
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/reducer"
 )
@@ -70,6 +74,56 @@
 	}{f.OK, f.Shed, f.Errors, d.tries(), f.Active, f.Listed, f.Avoided, f.Applied, f.Rejected}
 }
 
+// company is how often it is looked whether another process serves at the same address.
+const company = 250 * time.Millisecond
+
+// attendCompany leaves this process's mark in the folder that versions of the balancer share, and tells of others' marks
+// until stop. Where there is no such folder the process is alone as far as it knows.
+func attendCompany(cfg *config.Config, post func(reducer.Event)) (stop func()) {
+	mark, err := beside.Leave(os.Getenv("TMPDIR"), cfg.Listen)
+	if err != nil {
+		log.Printf("%v; the limits are not shared with another version", err)
+		return func() {}
+	}
+	done, ended := make(chan struct{}), make(chan struct{})
+	look := time.NewTicker(company)
+	last := mark.Others()
+	if last > 0 {
+		post(reducer.Beside{Others: last})
+	}
+	go func() {
+		defer close(ended)
+		defer look.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-look.C:
+				if n := mark.Others(); n != last {
+					last = n
+					log.Printf("%d other versions serve at %s", n, cfg.Listen)
+					post(reducer.Beside{Others: n})
+				}
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+		mark.Close()
+	}
+}
+
+// shareMemory has the collector keep to one part of so many, and work harder while there are several.
+func shareMemory(cfg *config.Config, parts int) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20) / float64(parts)))
+	percent := 400
+	if parts > 1 {
+		percent = 100
+	}
+	debug.SetGCPercent(percent)
+}
+
 // share opens the clients' address beside an earlier version of the balancer, if one runs.
 func share(address string) (net.Listener, error) {
 	l, err := acceptor.Listen(address, true)
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -12,7 +12,6 @@
 	"os/signal"
 	"reflect"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -64,8 +63,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
-	debug.SetGCPercent(400)
+	shareMemory(cfg, 1)
 
 	begin := time.Now()
 	now := func() time.Duration { return clockStart + time.Since(begin) }
@@ -167,6 +165,9 @@
 				case reducer.Turn:
 					front.Turn(e.Away)
 					standing.away.Store(e.Away)
+				case reducer.Share:
+					front.Share(e.Parts)
+					shareMemory(cfg, e.Parts)
 				case reducer.Part:
 					front.Part(e.Silent)
 				case reducer.Publish:
@@ -177,6 +178,9 @@
 		}
 	}()
 	post(reducer.Started{Known: known, Discovery: cfg.Discovery, Figures: cfg.Control != ""})
+	if cfg.Control != "" {
+		defer attendCompany(cfg, post)()
+	}
 	ops, err := operate(cfg, state, post, now, &standing)
 	if err != nil {
 		return err
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -52,6 +52,7 @@
 	longest time.Duration // of the deadlines at the start
 
 	ready, draining, away atomic.Bool
+	shared                atomic.Bool // another process serves at the same address
 	lastCall              atomic.Uint64
 	mu                    sync.Mutex
 	waiting               map[uint64]chan reducer.Reply
@@ -168,6 +169,12 @@
 // Part closes the connections that carry no call, those that have not said anything too if silent.
 func (a *Acceptor) Part(silent bool) { a.conns.part(silent) }
 
+// Share leaves the clients' part of the descriptors to so many processes at the same address.
+func (a *Acceptor) Share(parts int) {
+	a.shared.Store(parts > 1)
+	a.conns.share(parts)
+}
+
 // lastOne has a client leave the connection after an answer, while clients are to go.
 func (a *Acceptor) lastOne(h http.Header) {
 	if a.draining.Load() || a.away.Load() {
@@ -177,7 +184,7 @@
 
 func (a *Acceptor) health(w http.ResponseWriter, _ *http.Request) {
 	a.lastOne(w.Header())
-	if !a.ready.Load() || a.draining.Load() || a.away.Load() {
+	if !a.ready.Load() || a.draining.Load() && !a.shared.Load() || a.away.Load() { // the other one is ready
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -24,7 +24,8 @@
 // Room is made by a read deadline in the past, where a close would cut off a request that comes at that moment:
 // once net/http has its header, the connection is active and keeps its place.
 type clients struct {
-	budget, kept int
+	budget, kept int // under mu
+	whole        [2]int
 	mu           sync.Mutex
 	freed        *sync.Cond
 	open         int
@@ -172,11 +173,22 @@
 }
 
 func newClients(budget, kept int) *clients {
-	c := &clients{budget: budget, kept: kept, silent: map[*client]uint64{}, idle: map[*client]uint64{}}
+	c := &clients{budget: budget, kept: kept, whole: [2]int{budget, kept}, silent: map[*client]uint64{}, idle: map[*client]uint64{}}
 	c.freed = sync.NewCond(&c.mu)
 	return c
 }
 
+// share takes one part of so many of the budget. What is open beyond it goes as it becomes idle.
+func (c *clients) share(parts int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget, c.kept = max(1, c.whole[0]/parts), max(1, c.whole[1]/parts)
+	for over := c.open - c.leaving - c.budget; over > 0 && len(c.idle) > 0; over-- {
+		c.dismiss(c.idle)
+	}
+	c.freed.Broadcast()
+}
+
 func (c *clients) changed(nc net.Conn, s http.ConnState) {
 	k := nc.(*client)
 	c.mu.Lock()
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -356,6 +356,7 @@
 	conns    map[uint64]*conn
 	lastConn uint64
 	budget   int // connections to app nodes, all told
+	whole    int // the same where no other process shares it
 
 	byAddress map[string][]*server
 	zoneBits  map[string]uint64
@@ -437,7 +438,7 @@
 
 // NewPools makes the state of pools around deciders that decide makes, one for each pool.
 func NewPools(cfg brain.Settings, budget int, l Layout, decide func(string) brain.Decider) (*Reducer, error) {
-	r := &Reducer{cfg: cfg, decide: decide, budget: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
+	r := &Reducer{cfg: cfg, decide: decide, budget: budget, whole: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
 		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{},
 		wishes: map[string]wish{}, caps: map[string]int{}, tallies: map[string]*ended{}}
@@ -469,9 +470,6 @@
 	switch e := ev.(type) {
 	case Started:
 		r.discovery = e.Discovery
-		if e.Figures {
-			r.onPublish()
-		}
 		if r.zoned {
 			r.emit(Arm{zoneTick, zoneClock{}})
 		}
@@ -483,6 +481,9 @@
 		if !r.cfg.AskDiscovery {
 			r.openWatch()
 		}
+		if e.Figures {
+			r.onPublish()
+		}
 	case TurnedDown:
 		r.rejected++
 	case Reloaded:
@@ -597,6 +598,8 @@
 		r.onTurn(true, e.Done)
 	case Activate:
 		r.onTurn(false, e.Done)
+	case Beside:
+		r.onBeside(e.Others)
 	case part:
 		r.onPart(e.turn)
 	case publish:
--- a/internal/reducer/standing.go
+++ b/internal/reducer/standing.go
@@ -20,6 +20,9 @@
 	// Activate: clients are welcome again.
 	Activate struct{ Done func() }
 
+	// Beside: so many other processes serve at the same address, with which the machine's limits are shared.
+	Beside struct{ Others int }
+
 	part struct{ turn uint64 }
 )
 
@@ -28,6 +31,8 @@
 	Turn struct{ Away bool }
 	// Part closes clients' connections that carry no call; those that have not said anything too if Silent.
 	Part struct{ Silent bool }
+	// Share says how many parts the limits of the machine are in from now on.
+	Share struct{ Parts int }
 )
 
 // onTurn changes how the balancer stands. The same wish twice is one.
@@ -56,9 +61,21 @@
 	r.emit(Arm{partEvery, part{turn}})
 }
 
+// onBeside takes this process's part of the connections to app nodes, and gives back what is over it: those between calls
+// now, others by not being replaced.
+func (r *Reducer) onBeside(others int) {
+	parts := 1 + max(0, others)
+	r.budget = max(1, r.whole/parts)
+	for len(r.conns) > r.budget && r.closeOldest() {
+	}
+	r.emit(Share{parts})
+}
+
 func (Drain) event()    {}
+func (Beside) event()   {}
 func (Activate) event() {}
 func (part) event()     {}
 
-func (Turn) effect() {}
-func (Part) effect() {}
+func (Turn) effect()  {}
+func (Share) effect() {}
+func (Part) effect()  {}
