Give an answer its own time to be written, however long its body took

Ruled out: heads (2.6 s since the last change) and the rest of unwanted bodies (their connections linger). The deadline is now set when there is an answer, which also serves classes with longer deadlines than at the start. The test fails without it: unexpected EOF.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -44,12 +44,11 @@
 
 // Acceptor serves clients.
 type Acceptor struct {
-	now     func() time.Duration
-	post    func(reducer.Event)
-	terms   atomic.Pointer[Terms]
-	server  *http.Server
-	conns   *clients
-	longest time.Duration // of the deadlines at the start
+	now    func() time.Duration
+	post   func(reducer.Event)
+	terms  atomic.Pointer[Terms]
+	server *http.Server
+	conns  *clients
 
 	ready, draining, away atomic.Bool
 	shared                atomic.Bool // another process serves at the same address
@@ -83,7 +82,7 @@
 func New(now func() time.Duration, post func(reducer.Event), classes, tenants map[string]int,
 	deadlines []time.Duration, budget, kept int, bounds Bounds) *Acceptor {
 	longest := slices.Max(deadlines)
-	a := &Acceptor{now: now, post: post, bounds: bounds, longest: longest,
+	a := &Acceptor{now: now, post: post, bounds: bounds,
 		conns: newClients(budget, kept), waiting: map[uint64]chan reducer.Reply{}}
 	a.Retune(Terms{classes, tenants, deadlines})
 	proxy := &httputil.ReverseProxy{
@@ -119,9 +118,6 @@
 				a.broken(w, r, err)
 				return
 			}
-			if call.Deadline-a.now() > a.longest { // than the server knows of
-				http.NewResponseController(w).SetWriteDeadline(time.Now().Add(call.Deadline - a.now() + writePatience))
-			}
 			up := call.Message.(*message.Call).Upload
 			if up != nil {
 				defer up.Close() // before net/http looks at the body again
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -526,6 +526,31 @@
 	}
 }
 
+// A body that takes longer than the server has for a whole call does not cost the client its answer.
+func TestASlowBodyHasItsAnswer(t *testing.T) {
+	f := newFrontTaking(t, 10, 1<<20)
+	f.server.WriteTimeout = 20 * time.Millisecond
+	c := f.dial().send("POST"+lookup[3:]+"Content-Length: 100000\n", "")
+	call := (<-f.events).(reducer.Arrived).Call
+	read := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, sent(call).Upload)
+		read <- err
+	}()
+	for range 10 {
+		time.Sleep(4 * time.Millisecond) // past the server's time, whatever else delays it
+		io.WriteString(c, strings.Repeat("x", 10000))
+	}
+	if err := <-read; err != nil {
+		t.Fatal(err)
+	}
+	<-f.events
+	f.Answer(call.ID, served("kept"))
+	if resp, text := c.answer(); text != "kept" || resp.StatusCode != 200 {
+		t.Errorf("%+v %q", resp, text)
+	}
+}
+
 // A body in chunks, with extensions and a trailer, is taken whole where it is short. It is the connection's last: what stands
 // behind it is never read as a request.
 func TestABodyInChunks(t *testing.T) {
--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"pewterrudder/internal/flow"
 	"pewterrudder/internal/message"
@@ -53,6 +54,8 @@
 		}
 		reply = <-to // it was we who ended the reading, which net/http takes for the client's leaving
 	}
+	// net/http's deadline counts from the head: a body may have taken longer than that, or a class wait longer.
+	r.Context().Value(clientKey{}).(*client).TCPConn.SetWriteDeadline(time.Now().Add(writePatience))
 	resp := a.response(r, call, reply)
 	if up := out.Upload; up != nil && !up.Whole() { // an answer ends it, at the end of the handler
 		resp.Header.Set("Connection", "close")
