--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -243,6 +243,9 @@
 		return
 	}
 	env := []string{"RELAY_CONFIG=" + s.config, "PATH=" + os.Getenv("PATH"), "TMPDIR=" + r.dir}
+	if control := os.Getenv("RELAY_CONTROL"); control != "" && s.index == 0 { // for who tries a day by hand
+		env = append(env, "RELAY_CONTROL="+control)
+	}
 	if r.flows != "" {
 		env = append(env, "RUDDER_SETTINGS="+r.flows)
 	}
