--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -634,3 +634,32 @@
 		t.Error(err)
 	}
 }
+
+// While another version serves, clients' connections between calls go that are over this one's part, and the front is told
+// yes to the end, since the other one is ready.
+func TestTheClientsPartIsShared(t *testing.T) {
+	f := newFront(t, 8)
+	f.Ready()
+	var kept []*caller
+	for range 6 {
+		c := f.dial().send("GET /health/ready HTTP/1.1\nHost: x\n", "")
+		if resp, _ := c.answer(); resp.StatusCode != 200 {
+			t.Fatalf("%+v", resp)
+		}
+		kept = append(kept, c)
+	}
+	f.Share(2)
+	for _, c := range kept[:2] { // the oldest two of six, for four
+		if _, err := c.ReadByte(); err != io.EOF {
+			t.Errorf("%v", err)
+		}
+	}
+	f.draining.Store(true)
+	if resp, _ := kept[5].send("GET /health/ready HTTP/1.1\nHost: x\n", "").answer(); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%+v", resp)
+	}
+	f.Share(1)
+	if resp, _ := f.dial().send("GET /health/ready HTTP/1.1\nHost: x\n", "").answer(); resp.StatusCode != 503 {
+		t.Errorf("%+v", resp)
+	}
+}
--- a/internal/reducer/standing_test.go
+++ b/internal/reducer/standing_test.go
@@ -90,3 +90,33 @@
 		t.Errorf("%+v", f)
 	}
 }
+
+// While another version serves, half of the connections are given back, those between calls first, and none is opened over
+// the half; alone again the whole is there.
+func TestConnectionsAreSharedWithAnotherVersion(t *testing.T) {
+	w := newWorld(t, 4, "a:1", "a:2", "a:3", "a:4")
+	fill := func(n int) {
+		t.Helper()
+		for range n {
+			w.call(0, 600*ms)
+		}
+		for _, id := range w.in(dialing) {
+			w.dialed(id, nil)
+		}
+	}
+	fill(3)
+	for _, id := range w.in(busy)[:2] {
+		w.exchanged(good(id))
+	}
+	w.do(Beside{Others: 1})
+	if n := len(w.in(idle)) + len(w.in(busy)); n != 2 || !w.has(func(e Effect) bool { return e == Share{2} }) {
+		t.Errorf("%d connections, %v", n, w.took)
+	}
+	if fill(4); len(w.r.conns) > 2 {
+		t.Errorf("%d connections of two", len(w.r.conns))
+	}
+	w.do(Beside{})
+	if fill(4); len(w.r.conns) != 4 {
+		t.Errorf("%d connections of four", len(w.r.conns))
+	}
+}
