--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -128,3 +128,36 @@
 		}
 	}
 }
+
+// No more callers are held than there are places: the oldest goes for one more, and only that.
+func TestTheOldestCallerMakesRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	b := &bounded{Listener: l, open: map[*caller]uint64{}}
+	var held []net.Conn
+	for range Most + 1 {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		near, err := b.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		held = append(held, near)
+	}
+	for i, nc := range held {
+		if _, err := nc.Write([]byte("x")); (err != nil) != (i == 0) {
+			t.Errorf("caller %d of %d: %v", i+1, len(held), err)
+		}
+	}
+	held[3].Close()
+	if len(b.open) != Most-1 {
+		t.Errorf("%d places taken", len(b.open))
+	}
+}
--- a/internal/reducer/retune_test.go
+++ b/internal/reducer/retune_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// An answer that flows for longer than a place rests keeps it.
+func TestAPlaceWithACallIsNotGivenAway(t *testing.T) {
+	w := newWorld(t, 4, "a:1")
+	w.call(0, 600*ms)
+	w.dialed(1, nil)
+	w.flows(1, Good)
+	next := settings()
+	next.Classes = slices.Clone(next.Classes[1:])
+	w.retuned(next)
+	w.pass(2 * placeRests)
+	c := next.Classes[0]
+	c.Name = "new"
+	next.Classes = append(next.Classes, c)
+	if places, _ := w.retuned(next); places["new"] == 0 {
+		t.Errorf("%v, while an answer flows", places)
+	}
+	w.exchanged(good(1))
+	if e := w.r.tallies[settings().Classes[0].Name]; e == nil || e.ok != 1 {
+		t.Errorf("%+v", w.r.tallies)
+	}
+}
+
 // Fewer attempts hold for calls under way too.
 func TestFewerAttemptsHoldAtOnce(t *testing.T) {
 	w := newWorld(t, 8, "a:1", "a:2", "a:3")
