Turn a file down as a whole where its pools cannot be laid out

A file whose settings were good and whose routes were not was taken in half: its settings held, its pools did not, and it counted as applied. The layout is made before anything is taken. Race detector: none in the packages touched and in the operators' tests; one in a test of ours is mended.

--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -212,7 +212,17 @@
 		case <-reload:
 			// A file with a fault must not cost the service: the old configuration stays in force.
 			next, err := cfg.Reload(env)
-			if err != nil {
+			moved := reducer.Reloaded{}
+			retuned, divides := false, false
+			if err == nil {
+				retuned = !reflect.DeepEqual(cfg.Settings, next.Settings)
+				divides = !samePools(cfg, next) || retuned && len(next.Service.Routes) > 0
+			}
+			if divides {
+				divided, wrong := layout(next)
+				moved.Layout, err = &divided, wrong
+			}
+			if err != nil { // nothing of it is taken
 				log.Printf("reload: %v; the old configuration stays", err)
 				post(reducer.TurnedDown{})
 				continue
@@ -221,19 +231,12 @@
 				log.Printf("reload: %s has changed, which takes a restart", key)
 			}
 			log.Printf("reload: discovery is %s", next.Discovery)
-			moved := reducer.Reloaded{Discovery: next.Discovery}
-			retuned := !reflect.DeepEqual(cfg.Settings, next.Settings)
+			moved.Discovery = next.Discovery
 			if retuned {
 				moved.Settings, moved.Tag = &next.Brain, next.Settings
 			}
-			if !samePools(cfg, next) || retuned && len(next.Service.Routes) > 0 {
-				divided, err := layout(next)
-				if err != nil {
-					log.Printf("reload: settings file: %v; the old pools stay", err)
-				} else {
-					moved.Layout = &divided
-					cfg.Service.Routes, cfg.Service.Pools, cfg.Service.Zones = next.Service.Routes, next.Service.Pools, next.Service.Zones
-				}
+			if divides {
+				cfg.Service.Routes, cfg.Service.Pools, cfg.Service.Zones = next.Service.Routes, next.Service.Pools, next.Service.Zones
 			}
 			cfg.Keep(next)
 			post(moved)
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -27,6 +27,11 @@
 func newFront(t *testing.T, budget int) *front { return newFrontTaking(t, budget, 0) }
 
 func newFrontTaking(t *testing.T, budget int, upload int64) *front {
+	return newFrontWith(t, budget, upload, func(*Acceptor) {})
+}
+
+// newFrontWith has the acceptor changed before it serves.
+func newFrontWith(t *testing.T, budget int, upload int64, change func(*Acceptor)) *front {
 	f := &front{t: t, events: make(chan reducer.Event, 100)}
 	f.Acceptor = New(func() time.Duration { return time.Hour }, func(e reducer.Event) { f.events <- e },
 		map[string]int{"lookup": 0, "booking": 1}, map[string]int{"acme": 0},
@@ -36,6 +41,7 @@
 		t.Fatal(err)
 	}
 	f.addr = l.Addr().String()
+	change(f.Acceptor)
 	go f.Serve(l)
 	t.Cleanup(func() { f.server.Close() })
 	return f
@@ -528,8 +534,7 @@
 
 // A body that takes longer than the server has for a whole call does not cost the client its answer.
 func TestASlowBodyHasItsAnswer(t *testing.T) {
-	f := newFrontTaking(t, 10, 1<<20)
-	f.server.WriteTimeout = 20 * time.Millisecond
+	f := newFrontWith(t, 10, 1<<20, func(a *Acceptor) { a.server.WriteTimeout = 20 * time.Millisecond })
 	c := f.dial().send("POST"+lookup[3:]+"Content-Length: 100000\n", "")
 	call := (<-f.events).(reducer.Arrived).Call
 	read := make(chan error, 1)
