Never count an upload as not run whose answer overtook its writer

Seen: TestUploads failed once in a clean checkout, and the cause is not the test's. An app node that had the last byte could answer before our writer had come to say so; the attempt then counted as written in part. After a 500 such a call, which may have run, was refused as harmless to repeat. What counts now is whether the last byte was read off the client. Ruled out: the reading side (the answer was whole). 900 runs of the test on 1, 2 and 8 processors pass.

--- a/internal/delegation/read.go
+++ b/internal/delegation/read.go
@@ -106,11 +106,13 @@
 				k.nc.SetWriteDeadline(time.Time{})
 			}
 		}
+		// An answer can overtake the moment at which our writer sees its last byte go: what may have run must not count as never run.
+		e.Spent = job.feed.spent()
 		e.Written = reducer.Partly
-		if job.whole {
+		if job.whole || e.Spent && job.call.Upload.Gone() {
 			e.Written = reducer.Whole
 		}
-		if e.Spent = job.feed.spent(); e.Err != nil && e.Spent && job.call.Upload.Failed() {
+		if e.Err != nil && e.Spent && job.call.Upload.Failed() {
 			e.Result = reducer.Left // the app node has no part in it
 		}
 		k.mu.Lock()
--- a/internal/flow/upload.go
+++ b/internal/flow/upload.go
@@ -24,7 +24,7 @@
 	clock    func() time.Time
 
 	using   sync.Mutex // held through a Read
-	got     int64      // under using
+	got     atomic.Int64
 	mu      sync.Mutex // guards the deadline, stopped, whole and failed
 	stopped bool
 	whole   bool
@@ -60,9 +60,9 @@
 	if ended := u.clock(); ended.Sub(began) > atOnce {
 		u.waited, u.last = u.waited+ended.Sub(began), ended
 	}
-	if u.got += int64(n); err == io.EOF && u.got < u.Length {
+	if got := u.got.Add(int64(n)); err == io.EOF && got < u.Length {
 		err = io.ErrUnexpectedEOF
-	} else if u.got > u.most {
+	} else if got > u.most {
 		n, err = 0, ErrTooLong
 	}
 	if err == io.EOF {
@@ -96,7 +96,7 @@
 	case u.stopped:
 		return ErrStopped
 	}
-	u.deadline(u.clock().Add(min(u.patience+time.Duration(u.got*int64(time.Second)/Slowest)-u.waited, longestGap)))
+	u.deadline(u.clock().Add(min(u.patience+time.Duration(u.got.Load()*int64(time.Second)/Slowest)-u.waited, longestGap)))
 	return nil
 }
 
@@ -134,6 +134,9 @@
 	return u.whole
 }
 
+// Gone says that the last byte has been read, so that it may have reached an app node, whether the end has been seen or not.
+func (u *Upload) Gone() bool { return u.Length >= 0 && u.got.Load() >= u.Length || u.Whole() }
+
 // Interrupted says that it was ended from our side.
 func (u *Upload) Interrupted() bool {
 	u.mu.Lock()
