--- a/internal/delegation/flow_test.go
+++ b/internal/delegation/flow_test.go
@@ -357,3 +357,23 @@
 		}
 	}
 }
+
+// An app node that has the last byte may answer before our writer has come to its end. Such a call may have run, and must
+// never count as one that cannot have.
+func TestAnAnswerThatOvertakesItsWriter(t *testing.T) {
+	body := noise(100 << 10)
+	k := newLink(t)
+	up := newUpload(strings.NewReader(body), int64(len(body))) // whose end is never seen
+	k.sendAs(&message.Call{Upload: up.Upload})
+	r, err := http.ReadRequest(k.read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(r.Body); string(got) != body || err != nil {
+		t.Fatalf("%d bytes, %v", len(got), err)
+	}
+	k.says("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", false)
+	if e := k.ended(); e.Written != reducer.Whole || e.Result != reducer.Errored || !e.Spent {
+		t.Errorf("%+v", e)
+	}
+}
