--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -105,7 +105,7 @@
 				http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
 			}
 			nc := r.Context().Value(clientKey{}).(*client)
-			nc.heads.taken()
+			twice := nc.heads.taken()
 			if r.URL.Path == readyPath {
 				a.health(w, r)
 				return
@@ -113,7 +113,7 @@
 			if len(r.TransferEncoding) > 0 { // where its body ends is not known but to net/http: nothing is to be read behind it
 				w.Header().Set("Connection", "close")
 			}
-			call, err := a.read(w, r)
+			call, err := a.read(w, r, twice)
 			if err != nil {
 				a.broken(w, r, err)
 				return
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -109,9 +109,6 @@
 	return nil
 }
 
-// framedTwice says that the head of the request being served names both a length and an encoding of its body.
-func (c *client) framedTwice() bool { return c.heads.twice() }
-
 // Write has patience with a client as long as it takes something. That a write gets on does not show it, nor that it does
 // not: room in our own buffer comes and goes by large steps. What counts is what the client's machine has acknowledged,
 // which is what was written less what the kernel still holds (SIOCOUTQ, tcp(7)).
--- a/internal/acceptor/framing.go
+++ b/internal/acceptor/framing.go
@@ -16,7 +16,6 @@
 	head  []byte // of the request that is coming in, so far
 	rest  int64  // of the body behind the last head; -1: all that comes
 	found []bool // a head each, not yet taken: whether it frames its body twice
-	now   bool   // the same of the request being served
 }
 
 // came is told what has been read.
@@ -87,22 +86,14 @@
 	}
 }
 
-// taken is told that the next request is being served.
-func (h *heads) taken() {
+// taken is told that the next request is being served, and says whether its head frames its body twice. What was not seen is
+// not trusted.
+func (h *heads) taken() (twice bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.found) == 0 { // not seen, so nothing is known of it
-		h.now = true
-		return
-	}
-	h.now, h.found = h.found[0], h.found[1:]
 	if len(h.found) == 0 {
-		h.found = nil
+		return true
 	}
-}
-
-func (h *heads) twice() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.now
+	twice, h.found = h.found[0], h.found[1:]
+	return twice
 }
--- a/internal/acceptor/framing_test.go
+++ b/internal/acceptor/framing_test.go
@@ -34,11 +34,11 @@
 				t.Fatalf("%q: %v", c.text, h.found)
 			}
 			for _, want := range c.want {
-				if h.taken(); h.twice() != want {
+				if h.taken() != want {
 					t.Fatalf("%q: taken as %v", c.text, !want)
 				}
 			}
-			if h.taken(); !h.twice() {
+			if !h.taken() {
 				t.Fatal("a request that was not seen is trusted")
 			}
 		}
--- a/internal/acceptor/read.go
+++ b/internal/acceptor/read.go
@@ -13,14 +13,13 @@
 	"pewterrudder/internal/reducer"
 )
 
-// read checks a request and reads its body. What fails here never goes to an app node.
-func (a *Acceptor) read(w http.ResponseWriter, r *http.Request) (*reducer.Call, error) {
+// read checks a request, of which it is known whether its head frames its body twice, and reads its body. What fails here never goes to an app node.
+func (a *Acceptor) read(w http.ResponseWriter, r *http.Request, twice bool) (*reducer.Call, error) {
 	terms := a.terms.Load()
 	bad := func(text string) (*reducer.Call, error) { return nil, &refused{http.StatusBadRequest, text} }
 	// net/http takes Transfer-Encoding over a Content-Length and drops the latter (HTTP/1.0: the reverse), so a body
 	// that was framed both ways cannot be told apart here, and may hide another request behind its end. What has come on the
 	// connection tells (framing.go).
-	twice := r.Context().Value(clientKey{}).(*client).framedTwice()
 	switch {
 	case twice:
 		return bad("a body is framed by its Content-Length or its Transfer-Encoding, not both")
