Send no repeat of a keyed call on a connection that came up too late

The copy was decided on 200 ms after the first attempt, inside the key's window of 202 ms less the module's margin; its handshake got through only when the cut was mended, 293 ms after the first, and the reducer wrote the call on it (connections.go, onDialed).

Now the reducer looks again when a connection takes a call up: where an earlier attempt may have run and its key is about to be forgotten, the delegation ends as never sent, which counts against nobody, and the connection is kept.

--- a/internal/reducer/connections.go
+++ b/internal/reducer/connections.go
@@ -31,9 +31,9 @@
 		if d != nil {
 			r.place(d) // at the new address
 		}
-	case d != nil && !d.call.over():
+	case d != nil && !d.call.over() && !r.tooLate(d):
 		r.exchange(k, d)
-	case d != nil: // its call ended while the connection was made: that is kept, and nothing is sent
+	case d != nil: // its time was over while the connection was made: that is kept, and nothing is sent
 		d.conn = nil
 		r.rest(k)
 		r.end(d, brain.NeverSent, nil)
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -33,7 +33,7 @@
 // place puts a delegation on the latest-used idle connection that has settled, else on the one that has rested for
 // the longest, else on a new one.
 func (r *Reducer) place(d *delegation) {
-	if d.call.over() || d.srv.gone { // over, or nobody there, while the connection was being made
+	if d.call.over() || d.srv.gone || r.tooLate(d) { // over, or nobody there, while the connection was being made
 		r.end(d, brain.NeverSent, nil)
 		return
 	}
@@ -67,8 +67,17 @@
 	r.emit(Dial{k.id, d.srv.address, r.cfg.ConnectTimeout})
 }
 
+// tooLate: the app nodes may have forgotten the call's key by now. The decision to repeat it came in time, but a
+// connection can take long to make: a cut that is mended lets the handshake through at its next try.
+func (r *Reducer) tooLate(d *delegation) bool {
+	k := &r.cfg.Classes[d.call.Class]
+	return k.Repeat == brain.Keyed && slices.ContainsFunc(d.call.delegations, func(o *delegation) bool {
+		return o != d && o.asked > 0 && r.now-o.asked > k.Window-keyMargin
+	})
+}
+
 func (r *Reducer) exchange(k *conn, d *delegation) {
-	k.state, k.delg, d.conn = busy, d, k
+	k.state, k.delg, d.conn, d.asked = busy, d, k, r.now
 	wait := d.call.deadline - r.now
 	if d.shot = d.call.OneShot; d.shot {
 		d.call.open, wait = true, d.call.wait // which the app node counts from the last byte, too
@@ -103,6 +112,9 @@
 func (r *Reducer) end(d *delegation, o brain.Outcome, report []float64) {
 	c := d.call
 	d.over = true
+	if o == brain.NeverSent || o == brain.ConnectFailed || o == brain.Shed { // it never ran
+		d.asked = 0
+	}
 	c.out--
 	took := r.now - d.sent
 	if d.begun > 0 {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -52,6 +52,9 @@
 	stallFirst, stallLeast, stallMost = 0.5, 0.1, 0.5
 	flowStalls                        = 4
 	flowStallLeast                    = 10 * time.Second
+	// keyMargin is how long before a key is forgotten its call goes out for the last time: the app node counts from when
+	// the first attempt came. The module decides with more to spare, so this binds only where a connection was long in the making.
+	keyMargin = 20 * time.Millisecond
 	// sayBrokenEvery bounds the lines on answers that broke off in their middle.
 	sayBrokenEvery = time.Second
 )
@@ -310,6 +313,7 @@
 	srv     *server // nil: there is none of that name
 	conn    *conn
 	sent    time.Duration
+	asked   time.Duration // when it was handed to a connection; 0: it was not, or never ran
 	begun   time.Duration // when its answer was committed
 	shot    bool          // it may have taken a part of a OneShot body
 	ours    bool          // it failed for want of our own descriptors
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -690,3 +690,56 @@
 		t.Errorf("of those that have settled, the latest is to be used: the others may end")
 	}
 }
+
+// A repeat of a keyed call is decided on while the app nodes remember its key. Where the connection for it comes up only when
+// a cut is mended, that time may be over, and the call would have its effect twice.
+func TestALateConnectionCarriesNoRepeatOfAKeyedCall(t *testing.T) {
+	for _, c := range []struct {
+		up    time.Duration // of the second connection, after the first was written on
+		first *Exchanged    // how the first attempt has ended by then; nil: not yet
+		goes  bool
+	}{
+		{900 * ms, nil, true}, {990 * ms, nil, false},
+		{990 * ms, &Exchanged{Written: Whole, Result: Broke}, false},
+		{990 * ms, &Exchanged{Written: Partly, Result: Broke}, true}, // it never ran
+	} {
+		w := newWorld(t, 10, "a:1", "b:1")
+		w.r.cfg.ConnectTimeout = 2 * time.Second
+		id := w.call(1, 3*time.Second)
+		first := w.in(dialing)[0]
+		w.dialed(first, nil)
+		began := w.now
+		call := w.r.calls[id]
+		other := "s0"
+		if call.delegations[0].server == "s0" {
+			other = "s1"
+		}
+		w.pass(200 * ms)
+		if len(call.delegations) == 1 { // the module has not asked for a copy by itself
+			w.r.send(call, &brain.Action{Kind: brain.Send, ID: call.brainID, Server: other})
+			for _, e := range w.r.out {
+				if d, ok := e.(Dial); ok {
+					w.turn(d.Conn, dialing)
+				}
+			}
+			w.r.out = nil
+		}
+		second := w.in(dialing)
+		if len(second) != 1 || len(call.delegations) != 2 {
+			t.Fatalf("%d delegations, connections %v being made", len(call.delegations), second)
+		}
+		if c.first != nil {
+			c.first.Conn = first
+			w.exchanged(*c.first)
+			if ran := call.delegations[0].asked > 0; ran == c.goes {
+				t.Errorf("an attempt that ended as %+v may have run: %v", *c.first, ran)
+			}
+			continue // the module, which knows of no copy, has answered
+		}
+		w.now = began + c.up
+		w.dialed(second[0], nil)
+		if goes := w.conns[second[0]] == busy; goes != c.goes {
+			t.Errorf("up %v after the first, which ended as %+v: sent %v, want %v", c.up, c.first, goes, c.goes)
+		}
+	}
+}
