Turn clients away at once where no descriptor is left to accept them

The balancer counts what it was told that it has; where the system gives less, accept fails with EMFILE and net/http looks again after 5 ms to 1 s, while the kernel has taken the connection and the client waits out its time.

Now one descriptor is kept spare. It takes the connection that waits, which is told 503, and connections without a call make room.

--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -265,15 +265,33 @@
 type limited struct {
 	net.Listener
 	clients *clients
+	spare   *spare
 }
 
-func (c *clients) limit(l net.Listener) net.Listener { return &limited{l, c} }
+func (c *clients) limit(l net.Listener) net.Listener { return &limited{l, c, newSpare()} }
 
 func (l *limited) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		switch {
+		case err == nil && l.spare.keep():
+			l.clients.room() // only now: nobody has to leave while nobody comes
+			return &client{TCPConn: nc.(*net.TCPConn)}, nil
+		case err == nil:
+			turnAway(nc)
+			l.spare.keep()
+		case !isShort(err):
+			return nil, err
+		default:
+			l.clients.part(false)
+			if !l.spare.give() {
+				time.Sleep(shortPause)
+			}
+		}
 	}
-	l.clients.room() // only now: nobody has to leave while nobody comes
-	return &client{TCPConn: nc.(*net.TCPConn)}, nil
+}
+
+func (l *limited) Close() error {
+	l.spare.close()
+	return l.Listener.Close()
 }
