Plant twelve defects that need several processes, and add a policy that sees warmth

Two yardsticks. `rudderlab fleet-planted` builds the balancer with each of twelve defects (asking discovery in step or at once, cold shares that are not shared, a list that is forgotten, dials without end ...), plays two cases of the rig on each beside the sound program, and names the figure that is worse.

`sees-warmth` takes the app node with the fewest own attempts out for its warmth and keeps nothing back.

--- a/cmd/rudderlab/main.go
+++ b/cmd/rudderlab/main.go
@@ -25,11 +25,12 @@
 	List    listCommand    `cmd:"" help:"List the scenarios, policies or kinds of faults."`
 	Check   checkCommand   `cmd:"" help:"Check scenario files."`
 
-	Swarm   swarmCommand   `cmd:"" help:"Play days that are drawn at random, and look for broken rules."`
-	Replay  replayCommand  `cmd:"" help:"Play the run of a replay file again."`
-	Shrink  shrinkCommand  `cmd:"" help:"Make the run of a replay file smaller while it breaks in the same way."`
-	Fleet   fleetCommand   `cmd:"" help:"Play days on the rig: real processes, a relay on each line, and faults between them."`
-	Planted plantedCommand `cmd:"" help:"Build the balancer with faults planted, and see that the swarm catches each."`
+	Swarm        swarmCommand        `cmd:"" help:"Play days that are drawn at random, and look for broken rules."`
+	Replay       replayCommand       `cmd:"" help:"Play the run of a replay file again."`
+	Shrink       shrinkCommand       `cmd:"" help:"Make the run of a replay file smaller while it breaks in the same way."`
+	Fleet        fleetCommand        `cmd:"" help:"Play days on the rig: real processes, a relay on each line, and faults between them."`
+	FleetPlanted fleetPlantedCommand `cmd:"" help:"Build the balancer with defects that need several processes to show, and see that the rig finds each."`
+	Planted      plantedCommand      `cmd:"" help:"Build the balancer with faults planted, and see that the swarm catches each."`
 
 	Theory          theoryCommand          `cmd:"" help:"Hold the model of app nodes against queueing theory."`
 	Paper           paperCommand           `cmd:"" help:"Play the experiments of the paper on bursts, beside its figures."`
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"pewterrudder/internal/lab/rebuilt"
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/sockets"
 )
@@ -262,3 +263,52 @@
 		t.Error(len(Cases))
 	}
 }
+
+// Each defect has its place in the source as it is, and its cases; that the rig finds them is a longer measurement.
+func TestTheDefectsHaveTheirPlaces(t *testing.T) {
+	root, err := rebuilt.Root(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range Defects {
+		d := &Defects[i]
+		if _, err := d.Apply(root); err != nil {
+			t.Error(err)
+		}
+		for _, name := range d.Cases {
+			if CaseOf(name) == nil {
+				t.Errorf("%s: there is no case %q", d.Name, name)
+			}
+		}
+	}
+}
+
+// What is worse than the sound program's is named, and what is alike is not.
+func TestAFigureThatIsWorseIsNamed(t *testing.T) {
+	sound := Row{Name: "x", Goodput: 0.9, Hit: 0.8, Return: 1, Calls: 8, Cold: 0.4}
+	alike := sound
+	alike.Goodput, alike.Hit, alike.Return, alike.Calls, alike.Cold = 0.89, 0.77, 2, 12, 0.55
+	if by := worse(&sound, &alike); len(by) > 0 {
+		t.Error(by)
+	}
+	for _, change := range []func(r *Row){
+		func(r *Row) { r.Broken = 1 }, func(r *Row) { r.Goodput = 0.87 }, func(r *Row) { r.Hit = 0.7 },
+		func(r *Row) { r.Return = -1 }, func(r *Row) { r.Return = 3 }, func(r *Row) { r.Calls = 20 }, func(r *Row) { r.Cold = 0.9 },
+	} {
+		bad := sound
+		if change(&bad); len(worse(&sound, &bad)) != 1 {
+			t.Errorf("%+v: %v", bad, worse(&sound, &bad))
+		}
+	}
+}
+
+// A row leaves void runs out, and a return that once did not come is late.
+func TestARowSumsItsRunsUp(t *testing.T) {
+	run := func(goodput, back float64) *Done {
+		return &Done{Figures: Figures{Goodput: goodput, Return: back, First: back, Worst: goodput}}
+	}
+	r := RowOf("x", []*Done{run(0.9, 1), run(0.7, 2), {Void: "late"}, run(0.8, -1)})
+	if r.Runs != 3 || r.Void != 1 || r.Goodput < 0.799 || r.Goodput > 0.801 || r.Return != 2 || r.Latest != -1 || r.Worst != 0.7 {
+		t.Errorf("%+v", r)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/planted.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+
+	"pewterrudder/internal/lab/planted"
+	"pewterrudder/internal/lab/rebuilt"
+	"pewterrudder/internal/lab/scenario"
+)
+
+// Defect is a change to the balancer that one process alone does not show, and the cases on which the rig is to find it.
+type Defect struct {
+	planted.Fault
+	Cases []string
+}
+
+// Defects are those that the rig must find. Each is of a kind that a change in good faith could bring.
+var Defects = []Defect{
+	{planted.Fault{Name: "asks-at-once", About: "after a failed call discovery is asked again at once", File: "brain/brain.go",
+		Old: `n.arm(&n.askArmed, time.Second/2+time.Duration(n.rng.Float64()*float64(time.Second)), cookieAsk)`,
+		New: `n.arm(&n.askArmed, 20*time.Millisecond, cookieAsk)`}, []string{"power-loss", "damaged-list"}},
+	{planted.Fault{Name: "asks-in-step", About: "all balancers wait alike before they ask discovery, as long as it is down", File: "brain/brain.go",
+		Old: `n.arm(&n.askArmed, time.Second/2+time.Duration(n.rng.Float64()*float64(time.Second)), cookieAsk)`,
+		New: `n.arm(&n.askArmed, time.Second-n.now%time.Second, cookieAsk)`}, []string{"power-loss", "power-loss-blank"}},
+	{planted.Fault{Name: "cold-share-unshared", About: "each balancer gives a cold app node what it bears from all of them", File: "brain/brain.go",
+		Old: `	rate := n.perSize * s.size * warm` + "\n",
+		New: `	rate := n.perSize * s.size * warm * n.coverage()` + "\n"}, []string{"power-loss", "old-list"}},
+	{planted.Fault{Name: "cold-room-from-warm-alone", About: "room at cold app nodes is learned where one is warm, and else there is none",
+		File: "brain/brain.go",
+		Old:  `	n.perSize += (1 - math.Exp(-dt/pace)) * (room/dt - n.perSize)`,
+		New:  `	if warm > 0 {` + "\n" + `		n.perSize += (1 - math.Exp(-dt/pace)) * (room/dt - n.perSize)` + "\n" + `	}`},
+		[]string{"power-loss-blank", "power-loss"}},
+	{planted.Fault{Name: "late-repeat", About: "a keyed repeat goes out on a connection that came up after the key's window",
+		File: "internal/reducer/delegations.go",
+		Old:  `	return k.Repeat == brain.Keyed && slices.ContainsFunc(`,
+		New:  `	return k.Repeat == brain.Safe && slices.ContainsFunc(`}, []string{"nodes-mute", "nodes-deaf"}},
+	{planted.Fault{Name: "no-spare", About: "a connection that finds no descriptor waits in the kernel", File: "internal/acceptor/clients.go",
+		Old: `		case !isShort(err):`,
+		New: `		case true:`}, []string{"descriptors"}},
+	{planted.Fault{Name: "ready-without-a-list", About: "a balancer is ready before it knows of an app node", File: "internal/reducer/fleet.go",
+		Old: `	if !r.readied && r.ready > 0 {`,
+		New: `	if !r.readied {`}, []string{"damaged-list", "power-loss-blank"}},
+	{planted.Fault{Name: "forgets-its-list", About: "the list that a balancer is started with is passed over", File: "cmd/pewterrudder/main.go",
+		Old: `	if len(cfg.Known) > 0 {`,
+		New: `	if len(cfg.Known) > 1<<30 {`}, []string{"old-list", "restart-split"}},
+	{planted.Fault{Name: "stall-unseen", About: "an app node that shows no sign of life is sent on", File: "brain/brain.go",
+		Old: `	if s.noProbe >= silentFrom || n.stalled(h) || h.trial && h.inflight > 0 {`,
+		New: `	if s.noProbe >= silentFrom || h.trial && h.inflight > 0 {`}, []string{"some-stall", "nodes-mute"}},
+	{planted.Fault{Name: "no-pause", About: "an app node that lets attempts run out, or turns them away, is asked again at once", File: "brain/brain.go",
+		Old: `		h.shedUntil = n.now + min(rankEvery<<min(h.sheds, 6), shedMost)`,
+		New: `		h.shedUntil = n.now`}, []string{"some-stall", "some-cut"}},
+	{planted.Fault{Name: "never-ejects", About: "an app node that fails is never left out", File: "brain/brain.go",
+		Old: `	h.ejectUntil = n.now + min(ejectFirst<<min(h.strikes, 5), ejectMax)`,
+		New: `	h.ejectUntil = n.now`}, []string{"some-cut", "some-stall"}},
+	{planted.Fault{Name: "dials-without-end", About: "a connection that does not come up is waited for", File: "internal/reducer/delegations.go",
+		Old: `	r.emit(Dial{k.id, d.srv.address, r.cfg.ConnectTimeout})`,
+		New: `	r.emit(Dial{k.id, d.srv.address, 20 * r.cfg.ConnectTimeout})`}, []string{"some-cut", "nodes-deaf"}},
+}
+
+// Found is what the rig says of a defect.
+type Found struct {
+	Defect string   `json:"defect"`
+	About  string   `json:"about"`
+	By     []string `json:"by"` // cases and figures; empty: not found
+	Runs   int      `json:"runs"`
+	Void   int      `json:"void"`
+	Error  string   `json:"error,omitempty"`
+}
+
+// Bounds past which a figure of a case is worse than that of the sound program. They lie outside what two series of the
+// sound program differ by.
+const (
+	worseGoodput = 0.02 // less, of the day
+	worseHit     = 0.05 // less, while hit
+	laterReturn  = 1.5  // seconds, the middle one
+	timesCalls   = 1.8  // as many calls to discovery in a second
+	timesCold    = 1.6  // as much work to a cold app node, and half of what the rule bears
+)
+
+// worse names what of a case is worse than the sound program's.
+func worse(sound, now *Row) (by []string) {
+	say := func(what string, was, is float64) {
+		by = append(by, fmt.Sprintf("%s: %s %.3g for %.3g", now.Name, what, is, was))
+	}
+	if now.Broken > sound.Broken {
+		say("rules broken", float64(sound.Broken), float64(now.Broken))
+	}
+	if now.Goodput < sound.Goodput-worseGoodput {
+		say("goodput", sound.Goodput, now.Goodput)
+	}
+	if now.Hit < sound.Hit-worseHit {
+		say("goodput while hit", sound.Hit, now.Hit)
+	}
+	if sound.Return >= 0 && (now.Return < 0 || now.Return > sound.Return+laterReturn) {
+		say("seconds to return", sound.Return, now.Return)
+	}
+	if float64(now.Calls) > timesCalls*float64(sound.Calls) {
+		say("calls to discovery", float64(sound.Calls), float64(now.Calls))
+	}
+	if now.Cold > timesCold*sound.Cold && now.Cold > 0.5 {
+		say("work to a cold app node", sound.Cold, now.Cold)
+	}
+	return by
+}
+
+// Plant builds each defect into the balancer and plays its cases, beside the sound program's. told hears of each as it is done.
+func Plant(ctx context.Context, root, balancer string, only []string, seeds []uint64, beside int, told func(*Found)) error {
+	dir, err := os.MkdirTemp("", "rudderlab-fleet-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	sound := map[string]*Row{}
+	for i := range Defects {
+		d := &Defects[i]
+		if len(only) > 0 && !slices.Contains(only, d.Name) {
+			continue
+		}
+		f := &Found{Defect: d.Name, About: d.About}
+		if err := d.find(ctx, root, dir, balancer, seeds, beside, sound, f); err != nil {
+			if ctx.Err() != nil {
+				return err
+			}
+			f.Error = err.Error()
+		}
+		told(f)
+	}
+	return nil
+}
+
+func (d *Defect) find(ctx context.Context, root, dir, balancer string, seeds []uint64, beside int, sound map[string]*Row, f *Found) error {
+	text, err := d.Apply(root)
+	if err != nil {
+		return err
+	}
+	program, err := rebuilt.Program(root, dir, d.Name, "./cmd/pewterrudder", d.File, text)
+	if err != nil {
+		return err
+	}
+	if err := rows(ctx, balancer, d.Cases, seeds, beside, sound); err != nil {
+		return err
+	}
+	with := map[string]*Row{}
+	if err := rows(ctx, program, d.Cases, seeds, beside, with); err != nil {
+		return err
+	}
+	for _, name := range d.Cases {
+		r := with[name]
+		f.Runs, f.Void = f.Runs+r.Runs, f.Void+r.Void
+		if r.Runs > 0 && sound[name].Runs > 0 {
+			f.By = append(f.By, worse(sound[name], r)...)
+		}
+	}
+	return nil
+}
+
+// rows plays the cases that are not there yet.
+func rows(ctx context.Context, balancer string, names []string, seeds []uint64, beside int, rows map[string]*Row) error {
+	var days []*scenario.Scenario
+	for _, name := range names {
+		if rows[name] != nil {
+			continue
+		}
+		c := CaseOf(name)
+		if c == nil {
+			return fmt.Errorf("no case is called %q", name)
+		}
+		sc, err := c.Day()
+		if err != nil {
+			return err
+		}
+		days = append(days, sc)
+	}
+	all, err := Series(ctx, days, seeds, beside, Options{Balancer: balancer}, nil)
+	if err != nil {
+		return err
+	}
+	for i, runs := range all {
+		r := RowOf(days[i].Name, runs)
+		rows[r.Name] = &r
+	}
+	return nil
+}
--- a/internal/lab/policy/pick.go
+++ b/internal/lab/policy/pick.go
@@ -32,6 +32,20 @@
 	return lowest(n.rng, from, func(s *server) float64 { return float64(s.out) })
 }
 
+// leastForWarmth takes the server with the fewest of this balancer's own attempts out, this one with them, for what it can do
+// at its age by the rule on cold ones. It is what room at cold servers is held against: it sees how warm each is, and keeps
+// nothing back.
+func leastForWarmth(n *node, from []*server) *server {
+	rules := &n.cfg.Rules
+	return lowest(n.rng, from, func(s *server) float64 {
+		warm, age := 1.0, n.now-s.Started
+		if s.Started != 0 && age < rules.ColdFor {
+			warm = rules.ColdFrom + (1-rules.ColdFrom)*max(0, age.Seconds())/rules.ColdFor.Seconds()
+		}
+		return float64(s.out+1) / warm
+	})
+}
+
 // powerOfTwo draws two different servers and takes the one with fewer of this balancer's own attempts out. The order
 // of the draw is the tie's (Mitzenmacher, The power of two choices in randomized load balancing, IEEE TPDS 12(10),
 // 2001, with own counts in the place of queues).
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -31,6 +31,7 @@
 	"least-outstanding": {choices: one, pick: leastOutstanding},
 	"power-of-two":      {choices: one, pick: powerOfTwo},
 	"greedy":            {choices: one, pick: lowestReports(1), reports: true},
+	"sees-warmth":       {choices: one, pick: leastForWarmth},
 }
 
 // Names lists what New takes, in order of the alphabet; "static-k=K" stands for any K from 1 on.
--- a/internal/lab/rebuilt/rebuilt.go
+++ b/internal/lab/rebuilt/rebuilt.go
@@ -35,6 +35,11 @@
 // Lab builds rudderlab with another text in place of one file of the source, which is named from its root. The program
 // of that name is left in dir.
 func Lab(root, dir, name, file string, text []byte) (string, error) {
+	return Program(root, dir, name, "./cmd/rudderlab", file, text)
+}
+
+// Program does the same with any program of the source.
+func Program(root, dir, name, of, file string, text []byte) (string, error) {
 	changed, overlay := filepath.Join(dir, name+".go.txt"), filepath.Join(dir, name+".json")
 	raw, err := json.Marshal(map[string]any{"Replace": map[string]string{filepath.Join(root, file): changed}})
 	if err != nil {
@@ -49,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), buildFor)
 	defer cancel()
 	program := filepath.Join(dir, name)
-	cmd := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", program, "./cmd/rudderlab")
+	cmd := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", program, of)
 	cmd.Dir = root
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("go build: %w\n%s", err, out)
