Leave nothing of a rig that is killed: processes, stopped ones too, and its folder

The processes are bound to the rig's life by the kernel, stopped ones as well; its folder was left. Folders are now named by their owner, and a run removes those whose owner is no more.

--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -20,6 +20,10 @@
 var program string // the real balancer
 
 func TestMain(m *testing.M) {
+	if path := os.Getenv("FLEET_TEST_RIG"); path != "" {
+		beRig(path)
+		return
+	}
 	os.Exit(func() int {
 		dir, err := os.MkdirTemp("", "fleet-test-")
 		if err != nil {
@@ -312,3 +316,76 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// beRig plays a day with a stopped process until it is killed.
+func beRig(path string) {
+	sc, err := scenario.Parse("small", []byte(small), "length=60s",
+		`faults=[{"kind": "freeze", "at": "100ms", "for": "50s", "balancers": [0]}]`)
+	if err != nil {
+		panic(err)
+	}
+	Play(context.Background(), sc, Options{Seed: 1, Balancer: path, Bound: patient})
+}
+
+// processes are those of a program, and how many of them are stopped.
+func processes(path string) (all, stopped int) {
+	dirs, _ := filepath.Glob("/proc/[0-9]*")
+	for _, dir := range dirs {
+		if exe, err := os.Readlink(filepath.Join(dir, "exe")); err != nil || exe != path {
+			continue
+		}
+		all++
+		stat, _ := os.ReadFile(filepath.Join(dir, "stat"))
+		if _, rest, ok := strings.Cut(string(stat), ") "); ok && strings.HasPrefix(rest, "T") {
+			stopped++
+		}
+	}
+	return all, stopped
+}
+
+// A rig that is killed leaves no process behind, also none that it had stopped, and its folder goes with the next run.
+func TestAKilledRigLeavesNothing(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "balancer")
+	raw, err := os.ReadFile(program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, raw, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	temp := filepath.Join(dir, "tmp")
+	os.Mkdir(temp, 0o755)
+	t.Setenv("TMPDIR", temp)
+	rig := exec.Command(os.Args[0])
+	rig.Env = append(os.Environ(), "FLEET_TEST_RIG="+path)
+	if err := rig.Start(); err != nil {
+		t.Fatal(err)
+	}
+	until := time.Now().Add(time.Minute)
+	for {
+		if all, stopped := processes(path); all == 3 && stopped == 1 {
+			break
+		}
+		if time.Now().After(until) {
+			rig.Process.Kill()
+			t.Fatal("the rig has not stopped a process")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	rig.Process.Kill()
+	rig.Wait()
+	for all := 1; all > 0; all, _ = processes(path) {
+		if time.Now().After(until) {
+			t.Fatalf("%d processes are left", all)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if left, _ := filepath.Glob(filepath.Join(temp, "*")); len(left) != 1 {
+		t.Fatalf("folders %v: the one of the rig that was killed was to be there", left)
+	}
+	play(t, "", "length=500ms")
+	if left, _ := filepath.Glob(filepath.Join(temp, "*")); len(left) != 0 {
+		t.Errorf("folders %v are left", left)
+	}
+}
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -18,6 +18,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"pewterrudder/internal/lab/chance"
@@ -180,13 +181,28 @@
 	}
 	opt.Balancer = path
 	r := &run{opt: opt, sc: sc, src: chance.New(opt.Seed), asks: map[uint64]*flight{}, there: newTimes(), back: newTimes()}
-	if r.dir, err = os.MkdirTemp("", "rudderlab-"); err != nil {
+	sweep()
+	if r.dir, err = os.MkdirTemp("", fmt.Sprintf("%s%d-", folders, os.Getpid())); err != nil {
 		return nil, err
 	}
 	defer os.RemoveAll(r.dir)
 	return r.play(ctx)
 }
 
+// folders of runs are named by the process that owns them.
+const folders = "rudderlab-run-"
+
+// sweep removes the folders of labs that were killed, which could not do that themselves.
+func sweep() {
+	all, _ := filepath.Glob(filepath.Join(os.TempDir(), folders+"*"))
+	for _, dir := range all {
+		var pid int
+		if n, _ := fmt.Sscanf(filepath.Base(dir), folders+"%d-", &pid); n == 1 && errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) {
+			os.RemoveAll(dir)
+		}
+	}
+}
+
 // play builds the world around the processes, and takes all of it down in any case.
 func (r *run) play(ctx context.Context) (*Record, error) {
 	sc, opt := r.sc, r.opt
