Have disks lie on the rig: old, swapped, flipped, cut off and full state folders

Need: what a process starts from may not be what it wrote.

Seen with three processes: every fault bites, every process starts again and serves. A folder of before two edits forgets the second; one cut off or with 20,000 bits turned over is put aside and the box starts with no edits; a full disk turns edits down and costs no call. A folder swapped with another process's is taken as one's own: its edits are in force where nobody asked for them. That is a finding for the recovery of the fleet, which is to know whose memory it reads; it is not mended here.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -34,6 +34,7 @@
 	Figures
 	Broken  uint64         `json:"broken"` // rules
 	Breaks  []string       `json:"breaks,omitempty"`
+	Edits   sockets.Edits  `json:"edits"`
 	Faults  []Fault        `json:"faults"`
 	History *History       `json:"history"`
 	counts  *oracle.Counts // of the oracles
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Done{Scenario: sc.Name, Seed: opt.Seed, Void: rec.Void, Broken: rec.Broken, History: h, counts: &rec.Counts}
+	d := &Done{Scenario: sc.Name, Seed: opt.Seed, Void: rec.Void, Broken: rec.Broken, Edits: rec.Edits, History: h, counts: &rec.Counts}
 	for _, b := range rec.Breaks {
 		d.Breaks = append(d.Breaks, b.String())
 	}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -167,6 +167,24 @@
 		}},
 }
 
+// Each fault of disks bites the balancers that it is meant for: what their operators asked for is in force no more, or in force
+// where nobody asked for it. All start again all the same, and those whose disk is sound forget nothing, as the oracle sees to.
+var diskBites = []struct {
+	kind, faults string
+	want         sockets.Edits
+}{
+	{"edit", `{"kind": "edit", "at": "500ms", "part": 1, "nodes": [0, 1]}, {"kind": "balancer_crash", "at": "2s", "for": "200ms", "count": 2}`,
+		sockets.Edits{Asked: 6, Acked: 6}},
+	{"disk_old", `{"kind": "edit", "at": "500ms", "part": 1, "nodes": [0]}, {"kind": "disk_old", "at": "1500ms", "for": "1500ms", "balancers": [0]},
+		{"kind": "edit", "at": "2s", "part": 1, "nodes": [1]}`, sockets.Edits{Asked: 6, Acked: 6, Lost: 1}},
+	{"disk_swapped", `{"kind": "edit", "at": "500ms", "balancers": [0], "nodes": [0]}, {"kind": "disk_swapped", "at": "2s", "for": "200ms", "balancers": [0, 1]}`,
+		sockets.Edits{Asked: 1, Acked: 1, Lost: 1, Foreign: 1}},
+	{"disk_flipped", `{"kind": "edit", "at": "500ms", "part": 1, "nodes": [0]}, {"kind": "disk_flipped", "at": "2s", "for": "200ms", "balancers": [0], "size": 20000}`,
+		sockets.Edits{Asked: 3, Acked: 3, Lost: 1}},
+	{"disk_cut", `{"kind": "edit", "at": "500ms", "part": 1, "nodes": [0]}, {"kind": "disk_cut", "at": "2s", "for": "200ms", "balancers": [0], "size": 1000000000}`,
+		sockets.Edits{Asked: 3, Acked: 3, Lost: 1}},
+}
+
 // silent: the balancer answers nothing while it is hit, the others do, and afterwards it does.
 func silent(s seen) string {
 	hit, other, end := &s.History.Lanes[0], &s.History.Lanes[1], float64(s.History.length)*s.History.Slot
@@ -218,6 +236,10 @@
 	for _, b := range bites {
 		kinds[b.kind] = true
 	}
+	kinds["disk_full"] = true // TestAFullDiskTurnsEditsDown
+	for _, b := range diskBites {
+		kinds[b.kind] = true
+	}
 	for _, k := range scenario.Kinds {
 		if k.Rigged() && !kinds[k.Name] {
 			t.Errorf("nobody has seen %s bite", k.Name)
@@ -240,6 +262,36 @@
 	}
 }
 
+func TestEachDiskBites(t *testing.T) {
+	beside := make(chan struct{}, 3)
+	for _, b := range diskBites {
+		t.Run(b.kind, func(t *testing.T) {
+			t.Parallel()
+			beside <- struct{}{}
+			defer func() { <-beside }()
+			if s := play(t, b.faults); s.Edits != b.want {
+				t.Errorf("%+v, and not %+v", s.Edits, b.want)
+			}
+		})
+	}
+}
+
+// A disk on which nothing can grow costs edits, and neither calls nor the process.
+func TestAFullDiskTurnsEditsDown(t *testing.T) {
+	t.Parallel()
+	var many []string
+	for range 12 { // until the file has to grow
+		many = append(many, `{"kind": "edit", "at": ["1s", "2s"], "balancers": [0], "nodes": [0, 1, 2]}`)
+	}
+	s := play(t, `{"kind": "disk_full", "at": "100ms", "for": "3500ms", "balancers": [0]}, `+strings.Join(many, ","))
+	if s.Edits.Asked != 36 || s.Edits.Acked == 36 {
+		t.Errorf("%+v", s.Edits)
+	}
+	if n := s.within(s.History.Lanes[0].Served, 1, 4); n < 20 {
+		t.Errorf("it served %d", n)
+	}
+}
+
 // The other side of the same checks: on a day without faults none of them finds anything.
 func TestADayWithoutAFaultBitesNobody(t *testing.T) {
 	t.Parallel()
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -362,19 +363,31 @@
 	{"descriptors", "processes may hold so many descriptors, and no more", "descriptors", 1, 1e6, "processes", true, false},
 	{"old_list", "processes are killed, and start with the list of the first day", "", 0, 0, "processes", true, false},
 	{"damaged_list", "processes are killed, and start with a list that makes no sense", "", 0, 0, "processes", true, false},
+	{"edit", "an operator drains app nodes at balancers, which keep that in their state folders", "", 0, 0, "disks", false, false},
+	{"disk_old", "a folder is kept as it is; at the end its process is killed, and starts with that", "", 0, 0, "disks", true, false},
+	{"disk_swapped", "processes are killed, and start with each other's folders", "", 0, 0, "disks", true, false},
+	{"disk_flipped", "processes are killed, and start with bits of their folders turned over", "bits", 1, 1e9, "disks", true, false},
+	{"disk_cut", "processes are killed, and start with the end of their files cut off", "bytes", 1, 1e12, "disks", true, false},
+	{"disk_full", "no file of a process can grow", "", 0, 0, "disks", true, false},
 }
 
 // Rigged says whether a kind is of the rig alone.
-func (k *Kind) Rigged() bool { return k.On == "lines" || k.On == "processes" }
+func (k *Kind) Rigged() bool { return k.On == "lines" || k.On == "processes" || k.On == "disks" }
+
+// Boxed says whether a day has faults of state folders, which its balancers then have.
+func (s *Scenario) Boxed() bool {
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool {
+		k := KindOf(f.Kind)
+		return k != nil && k.On == "disks"
+	})
+}
 
 // Rigged says whether a day has faults that only real processes can have, with a relay on each line between them.
 func (s *Scenario) Rigged() bool {
-	for i := range s.Faults {
-		if k := KindOf(s.Faults[i].Kind); k != nil && k.Rigged() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool {
+		k := KindOf(f.Kind)
+		return k != nil && k.Rigged()
+	})
 }
 
 // KindOf finds a kind by name.
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -126,6 +126,7 @@
 	termAt    time.Duration
 	quits     func()          // the run is over, and the process is to end by itself
 	known     json.RawMessage // that its file holds at the next start, in place of the list that it had
+	settings  string          // path of a settings file of its own; empty: that of all
 	front     string          // where clients find it; empty: where it listens
 	discovery []*hall
 	pool      []*clientConn
@@ -250,7 +251,9 @@
 	if control := os.Getenv("RELAY_CONTROL"); control != "" && s.index == 0 { // for who tries a day by hand
 		env = append(env, "RELAY_CONTROL="+control)
 	}
-	if r.flows != "" {
+	if s.settings != "" {
+		env = append(env, "RUDDER_SETTINGS="+s.settings)
+	} else if r.flows != "" {
 		env = append(env, "RUDDER_SETTINGS="+r.flows)
 	}
 	if dir := os.Getenv("GOCOVERDIR"); dir != "" {
--- a/internal/lab/sockets/rig.go
+++ b/internal/lab/sockets/rig.go
@@ -146,12 +146,16 @@
 
 // Begin starts a fault. Each has its undoing noted, which End does.
 func (g *rig) Begin(e *world.Episode) {
+	if e.Kind == "edit" {
+		g.r.boxes.ask(e)
+		return
+	}
 	from, to := e.Between()
 	duty, counts := world.Answering, true
 	switch {
 	case from == "nodes" || to == "nodes":
 		duty = world.Repeating
-	case from == "discovery" || to == "discovery" || e.Kind == "descriptors" || e.Kind == "old_list" || e.Kind == "damaged_list":
+	case from == "discovery" || to == "discovery" || e.Kind == "descriptors" || from == "" && e.Kind != "freeze" && e.Kind != "starve":
 		counts = false // it owes all that it owed before
 	}
 	for _, b := range e.Seats {
@@ -170,6 +174,8 @@
 		g.on[e] = g.descriptors(e)
 	case "old_list", "damaged_list":
 		g.on[e] = g.respawn(e)
+	case "disk_old", "disk_swapped", "disk_flipped", "disk_cut", "disk_full":
+		g.on[e] = g.r.boxes.begin(e)
 	default:
 		g.each(e, func(s *relay.Stream, back bool) { g.hit(e, s, back, true) })
 		g.on[e] = func() {
@@ -180,6 +186,9 @@
 
 func (g *rig) End(e *world.Episode) {
 	undo := g.on[e]
+	if undo == nil {
+		return // it was over at once
+	}
 	delete(g.on, e)
 	undo()
 	for i := range g.spans {
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -21,6 +21,7 @@
 	"syscall"
 	"time"
 
+	"pewterrudder/internal/boxclient"
 	"pewterrudder/internal/lab/chance"
 	"pewterrudder/internal/lab/gate"
 	"pewterrudder/internal/lab/oracle"
@@ -77,6 +78,7 @@
 	// Through a balancer's process and the system's sockets, which virtual time takes to be nothing: from the writing of a
 	// request to its first arrival at an app node's socket, and from an answer's writing there to its first byte.
 	There, Back Spread
+	Edits       Edits // by operators, where the day has any
 }
 
 // ErrPolled: a scenario wants reports to reach decisions past the balancer, which has no socket for that.
@@ -100,7 +102,9 @@
 	flows  string         // path of the settings file, where one is needed
 	keep   *keeper
 	ways   *ways
-	rig    *rig // nil: no line has a relay
+	rig    *rig   // nil: no line has a relay
+	boxes  *boxes // nil: nobody has a state folder
+	edits  Edits
 	sample virtual.Sample
 	busy   []float64
 	logMu  sync.Mutex
@@ -246,6 +250,14 @@
 	if r.flows, err = r.flowSettings(); err != nil {
 		return nil, err
 	}
+	if sc.Boxed() {
+		r.boxes = &boxes{r: r, hit: map[int]bool{}, clients: map[int]*boxclient.Client{}}
+		for i, s := range r.seats {
+			if s.settings, err = r.boxes.settings(i); err != nil {
+				return nil, err
+			}
+		}
+	}
 	for b := range r.seats {
 		for a := range r.world.Addresses {
 			if _, err := r.gate(b, a); err != nil {
@@ -278,7 +290,7 @@
 	if finished {
 		r.oracle.Close()
 	}
-	rec := &Record{Late: r.clock.lateness(), Ended: !finished, There: r.there.spread(), Back: r.back.spread()}
+	rec := &Record{Late: r.clock.lateness(), Ended: !finished, There: r.there.spread(), Back: r.back.spread(), Edits: r.edits}
 	rec.Record = virtual.Record{Scenario: sc.Name, Seed: opt.Seed, Digest: journal.Digest(), Events: journal.Count,
 		Logged: r.logged, Counts: r.oracle.Counts, Breaks: r.oracle.Breaks, Episodes: r.world.Episodes,
 		Begin: world.Lead, End: r.world.End, Lasted: r.clock.Now(), Took: took, Speedup: 1}
@@ -329,7 +341,16 @@
 		n.End()
 	}
 	r.ways.stop()
-	r.leaks(time.Now().Add(leaksWithin), func() { r.quit(done) })
+	r.leaks(time.Now().Add(leaksWithin), func() {
+		if r.boxes == nil {
+			r.quit(done)
+			return
+		}
+		r.boxes.look(func(sum Edits) {
+			r.edits = sum
+			r.quit(done)
+		})
+	})
 }
 
 // leaksWithin is how long a balancer may take to see that a connection has ended.
@@ -367,7 +388,10 @@
 				busy++
 			}
 		}
-		const own = 2 // the listener and the watch
+		own := 2 // the listener and the watch
+		if r.boxes != nil {
+			own += 3 // the control socket, and what an operator's client keeps open
+		}
 		if sockets, ok := s.proc.sockets(); busy > 0 {
 			fault = fmt.Sprintf("balancer %d holds %d connections as busy", s.index, busy)
 		} else if ok && sockets > own+len(s.nodeConns) && !r.opt.Strangers { // whose sockets nobody here knows
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -96,7 +96,7 @@
 		e.beginBalancers()
 	case "network":
 		e.beginNetwork()
-	case "lines", "processes":
+	case "lines", "processes", "disks":
 		e.beginRig()
 	default:
 		e.beginRest()
--- a/internal/lab/world/rig.go
+++ b/internal/lab/world/rig.go
@@ -39,7 +39,7 @@
 func (e *Episode) beginRig() {
 	w := e.w
 	e.chooseSeats()
-	if e.Nodes = e.f.Nodes; len(e.Nodes) == 0 && (e.f.From == "nodes" || e.f.To == "nodes") {
+	if e.Nodes = e.f.Nodes; len(e.Nodes) == 0 && (e.f.From == "nodes" || e.f.To == "nodes" || e.Kind == "edit") {
 		for _, n := range w.Nodes {
 			e.Nodes = append(e.Nodes, n.Index)
 		}
