--- a/cmd/rudderlab/fleet.go
+++ b/cmd/rudderlab/fleet.go
@@ -21,9 +21,36 @@
 	Beside   int       `default:"1" help:"Runs at a time; what that makes late is void." placeholder:"N"`
 	JSON     bool      `name:"json" help:"Write one JSON object for each run, its history with it."`
 	Out      string    `help:"Write a page and the history of each run into this folder." placeholder:"DIR" type:"path"`
+	Shrink   string    `help:"Make the one day smaller while it breaks a rule in the same way, and write it into this file." placeholder:"FILE" type:"path"`
 	Balancer string    `help:"The balancer's program; else pewterrudder beside this one." placeholder:"PATH"`
 }
 
+// shrinkTries is how often a smaller day is played before it counts as one that does not break.
+const shrinkTries = 3
+
+// shrink plays the one day until it breaks, and then smaller ones.
+func (c *fleetCommand) shrink(ctx context.Context, sc *scenario.Scenario, opt fleet.Options) error {
+	opt.Seed = c.Seeds.from
+	play := func(day *scenario.Scenario) (*fleet.Done, error) { return fleet.Play(ctx, day, opt) }
+	for range shrinkTries {
+		d, err := play(sc)
+		if err != nil {
+			return err
+		}
+		if d.Void != "" || d.Way == "" {
+			continue
+		}
+		small, runs, err := fleet.Shrink(d.Drawn, d.Way, shrinkTries, play)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s\nfrom %d faults, %d balancers, %v to %d faults, %d balancers, %v in %d runs\n", d.Way, len(d.Drawn.Faults),
+			d.Drawn.Balancers.Count, d.Drawn.Length.D(), len(small.Faults), small.Balancers.Count, small.Length.D(), runs)
+		return fleet.Write(small, c.Shrink)
+	}
+	return fmt.Errorf("%s breaks no rule in %d runs with seed %d", sc.Name, shrinkTries, opt.Seed)
+}
+
 func (c *fleetCommand) Run() error {
 	if len(c.Cases) == 0 {
 		t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -45,6 +72,13 @@
 	b := newBar()
 	defer b.clear()
 	opt := fleet.Options{Balancer: path}
+	if c.Shrink != "" {
+		b.clear()
+		if len(days) > 1 {
+			return misuseError{fmt.Errorf("--shrink: one day at a time")}
+		}
+		return c.shrink(ctx, days[0], opt)
+	}
 	all, err := fleet.Series(ctx, days, c.Seeds.list(), c.Beside, opt, b.show)
 	b.clear()
 	if err != nil {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -4,7 +4,8 @@
 // the same seed. It must never look into a balancer, and a run in which the rig itself was late counts for nothing.
 //
 // fleet.go plays one day, history.go keeps what the world saw of each process, judge.go says what it came to, baseline.go
-// holds the faults that every program is measured under, page.go draws a run.
+// holds the faults that every program is measured under, page.go draws a run, shrink.go makes a
+// day that breaks a rule smaller, planted.go has the rig find what is known to be wrong.
 package fleet
 
 import (
@@ -15,6 +16,7 @@
 	"pewterrudder/internal/lab/oracle"
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/sockets"
+	"pewterrudder/internal/lab/swarm"
 	"pewterrudder/internal/lab/world"
 )
 
@@ -32,12 +34,14 @@
 	Seed     uint64 `json:"seed"`
 	Void     string `json:"void,omitempty"` // why it counts for nothing
 	Figures
-	Broken  uint64         `json:"broken"` // rules
-	Breaks  []string       `json:"breaks,omitempty"`
-	Edits   sockets.Edits  `json:"edits"`
-	Faults  []Fault        `json:"faults"`
-	History *History       `json:"history"`
-	counts  *oracle.Counts // of the oracles
+	Broken  uint64             `json:"broken"` // rules
+	Breaks  []string           `json:"breaks,omitempty"`
+	Way     string             `json:"way,omitempty"` // of the first break, its figures left out
+	Drawn   *scenario.Scenario `json:"-"`             // the day with its faults as they were drawn
+	Edits   sockets.Edits      `json:"edits"`
+	Faults  []Fault            `json:"faults"`
+	History *History           `json:"history"`
+	counts  *oracle.Counts     // of the oracles
 }
 
 // Fault is one that was played, from the first request on.
@@ -59,10 +63,17 @@
 		return nil, err
 	}
 	d := &Done{Scenario: sc.Name, Seed: opt.Seed, Void: rec.Void, Broken: rec.Broken, Edits: rec.Edits, History: h, counts: &rec.Counts}
-	for _, b := range rec.Breaks {
-		d.Breaks = append(d.Breaks, b.String())
+	for i := range rec.Breaks {
+		if b := &rec.Breaks[i]; i == 0 {
+			d.Way = swarm.Way(b)
+		}
+		d.Breaks = append(d.Breaks, rec.Breaks[i].String())
 	}
+	drawn := *sc
+	drawn.Faults = nil
+	d.Drawn = &drawn
 	for _, e := range rec.Episodes {
+		drawn.Faults = append(drawn.Faults, e.Fault())
 		from, to := e.Between()
 		f := Fault{Kind: e.Kind, From: since(e.From), To: since(e.To), Balancers: e.Seats, Nodes: e.Nodes}
 		if from != "" {
--- a/internal/lab/fleet/page.go
+++ b/internal/lab/fleet/page.go
@@ -9,8 +9,11 @@
 	"strings"
 )
 
-// Save writes the history of a run as path.json, and a page as path.html.
+// Save writes the history of a run as path.json, its day as path.day.json, and a page as path.html.
 func (d *Done) Save(path string) error {
+	if err := Write(d.Drawn, path+".day.json"); err != nil {
+		return err
+	}
 	raw, err := json.Marshal(d)
 	if err != nil {
 		return err
