--- a/cmd/rudderlab/fleet.go
+++ b/cmd/rudderlab/fleet.go
@@ -142,12 +142,12 @@
 
 func (c *fleetCommand) print(all [][]*fleet.Done) {
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "case\truns\tvoid\tgoodput\tbefore\twhile hit\tworst s\tfirst s\treturn s\tlatest\tcalls/s\tconns\tcold\tbroken\t")
+	fmt.Fprintln(t, "case\truns\tvoid\tgoodput\tbefore\twhile hit\tworst s\tfirst s\treturn s\tlatest\tcalls/s\tat once\tconns\tcold\tbroken\t")
 	var notes []string
 	for _, runs := range all {
 		r := fleet.RowOf(runs[0].Scenario, runs)
-		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.2f\t%s\t%s\t%s\t%d\t%d\t%.2f\t%d\t\n", r.Name, r.Runs, r.Void, r.Goodput, r.Calm, r.Hit,
-			r.Worst, seconds(r.First), seconds(r.Return), seconds(r.Latest), r.Calls, r.Conns, r.Cold, r.Broken)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.2f\t%s\t%s\t%s\t%d\t%d\t%d\t%.2f\t%d\t\n", r.Name, r.Runs, r.Void, r.Goodput, r.Calm, r.Hit,
+			r.Worst, seconds(r.First), seconds(r.Return), seconds(r.Latest), r.Calls, r.InStep, r.Conns, r.Cold, r.Broken)
 		for _, d := range runs {
 			if d.Void != "" {
 				notes = append(notes, fmt.Sprintf("%s, seed %d is void: %s", d.Scenario, d.Seed, d.Void))
--- a/internal/lab/fleet/baseline.go
+++ b/internal/lab/fleet/baseline.go
@@ -62,6 +62,8 @@
 	{Name: "restart-split", About: "half restart at once while a zone's balancers are cut off from discovery",
 		Faults: `{"kind": "balancer_crash", "at": "4s", "for": "1s", "count": 4},
 			{"kind": "line_cut", "at": "4s", "for": "3s", "part": 1, "zone": "south", "from": "balancers", "to": "discovery"}`},
+	{Name: "half-cold", About: "half of the app nodes restart at once, at five sixths of the load",
+		Faults: `{"kind": "restart", "at": "4s", "for": "500ms", "part": 0.5}`, Set: []string{"traffic.load=0.83"}},
 	{Name: "disk-old", About: "operators drain two app nodes in turn; two balancers start with their folder of between the two",
 		Faults: `{"kind": "edit", "at": "1s", "part": 1, "nodes": [0]}, {"kind": "disk_old", "at": "3s", "for": "3s", "count": 2},
 			{"kind": "edit", "at": "4s", "part": 1, "nodes": [1]}`},
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -341,7 +341,7 @@
 
 // What is worse than the sound program's is named, and what is alike is not.
 func TestAFigureThatIsWorseIsNamed(t *testing.T) {
-	sound := Row{Name: "x", Goodput: 0.9, Hit: 0.8, Return: 1, Calls: 8, Cold: 0.4}
+	sound := Row{Name: "x", Goodput: 0.9, Hit: 0.8, Return: 1, Calls: 8, InStep: 4, Cold: 0.4}
 	alike := sound
 	alike.Goodput, alike.Hit, alike.Return, alike.Calls, alike.Cold = 0.89, 0.77, 2, 12, 0.55
 	if by := worse(&sound, &alike); len(by) > 0 {
@@ -349,7 +349,7 @@
 	}
 	for _, change := range []func(r *Row){
 		func(r *Row) { r.Broken = 1 }, func(r *Row) { r.Goodput = 0.87 }, func(r *Row) { r.Hit = 0.7 },
-		func(r *Row) { r.Return = -1 }, func(r *Row) { r.Return = 3 }, func(r *Row) { r.Calls = 20 }, func(r *Row) { r.Cold = 0.9 },
+		func(r *Row) { r.Return = -1 }, func(r *Row) { r.Return = 3 }, func(r *Row) { r.Calls = 20 }, func(r *Row) { r.InStep = 8 }, func(r *Row) { r.Cold = 0.9 },
 	} {
 		bad := sound
 		if change(&bad); len(worse(&sound, &bad)) != 1 {
--- a/internal/lab/fleet/history.go
+++ b/internal/lab/fleet/history.go
@@ -17,6 +17,7 @@
 	Lanes     []Lane    `json:"balancers"`
 	Asked     []float64 `json:"asked"`     // worth of what came up in a slot
 	InTime    []float64 `json:"in_time"`   // and of what of it was served in time
+	Calls     []int     `json:"calls"`     // to discovery
 	Nodes     [][]int   `json:"app_nodes"` // attempts that came to each, by slot
 	length    int
 	sc        *scenario.Scenario
@@ -38,7 +39,7 @@
 
 func newHistory(sc *scenario.Scenario) *History {
 	n := int(sc.Length.D()/slot) + 1
-	h := &History{Slot: slot.Seconds(), Asked: make([]float64, n), InTime: make([]float64, n), length: n, sc: sc}
+	h := &History{Slot: slot.Seconds(), Asked: make([]float64, n), InTime: make([]float64, n), Calls: make([]int, n), length: n, sc: sc}
 	for range sc.Balancers.Count {
 		h.Lanes = append(h.Lanes, Lane{Up: make([]bool, n), Served: make([]int, n), Refused: make([]int, n), Failed: make([]int, n),
 			Attempts: make([]int, n), Conns: make([]int, n), Took: make([]float64, n)})
@@ -107,3 +108,9 @@
 	}
 	h.Nodes[n.Index][i]++
 }
+
+func (h *History) Called(at time.Duration) {
+	if i, ok := h.at(at); ok {
+		h.Calls[i]++
+	}
+}
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"pewterrudder/internal/lab/oracle"
 )
@@ -22,6 +23,7 @@
 	ServedSpread float64 `json:"served_spread"`
 	MostConns    int     `json:"most_conns"` // at one app node
 	MostCalls    uint64  `json:"most_calls"` // to discovery in one second
+	InStep       int     `json:"in_step"`    // calls to discovery in a tenth of a second, the most
 	ColdShare    float64 `json:"cold_share"` // of the bound on work for a cold app node
 	Lost         uint64  `json:"lost"`       // requests without an answer
 	Twice        uint64  `json:"twice"`      // effects had twice
@@ -65,6 +67,7 @@
 			break
 		}
 	}
+	f.InStep = slices.Max(h.Calls)
 	f.LoadSpread, f.ServedSpread = h.spreads(first)
 	return f
 }
--- a/internal/lab/fleet/planted.go
+++ b/internal/lab/fleet/planted.go
@@ -27,7 +27,7 @@
 		New: `n.arm(&n.askArmed, time.Second-n.now%time.Second, cookieAsk)`}, []string{"power-loss", "power-loss-blank"}},
 	{planted.Fault{Name: "cold-share-unshared", About: "each balancer gives a cold app node what it bears from all of them", File: "brain/brain.go",
 		Old: `	rate := n.perSize * s.size * warm` + "\n",
-		New: `	rate := n.perSize * s.size * warm * n.coverage()` + "\n"}, []string{"power-loss", "old-list"}},
+		New: `	rate := n.perSize * s.size * warm * n.coverage()` + "\n"}, []string{"half-cold"}},
 	{planted.Fault{Name: "cold-room-from-warm-alone", About: "room at cold app nodes is learned where one is warm, and else there is none",
 		File: "brain/brain.go",
 		Old:  `	n.perSize += (1 - math.Exp(-dt/pace)) * (room/dt - n.perSize)`,
@@ -77,6 +77,7 @@
 	worseHit     = 0.05 // less, while hit
 	laterReturn  = 1.5  // seconds, the middle one
 	timesCalls   = 1.8  // as many calls to discovery in a second
+	timesInStep  = 1.5  // as many in a tenth of a second, and six
 	timesCold    = 1.6  // as much work to a cold app node, and half of what the rule bears
 )
 
@@ -100,6 +101,9 @@
 	if float64(now.Calls) > timesCalls*float64(sound.Calls) {
 		say("calls to discovery", float64(sound.Calls), float64(now.Calls))
 	}
+	if float64(now.InStep) > timesInStep*float64(sound.InStep) && now.InStep >= 6 {
+		say("calls at one moment", float64(sound.InStep), float64(now.InStep))
+	}
 	if now.Cold > timesCold*sound.Cold && now.Cold > 0.5 {
 		say("work to a cold app node", sound.Cold, now.Cold)
 	}
--- a/internal/lab/fleet/table.go
+++ b/internal/lab/fleet/table.go
@@ -18,6 +18,7 @@
 	Return  float64 `json:"return_s"` // the middle one; below 0: never in half of the runs
 	Latest  float64 `json:"latest_s"` // the latest return; below 0: once not within the day
 	Calls   uint64  `json:"most_calls"`
+	InStep  int     `json:"in_step"`
 	Conns   int     `json:"most_conns"`
 	Cold    float64 `json:"cold_share"`
 	Broken  uint64  `json:"broken"`
@@ -45,6 +46,7 @@
 		} else {
 			returns = append(returns, d.Return)
 		}
+		r.InStep = max(r.InStep, d.InStep)
 		r.Calls, r.Conns, r.Cold = max(r.Calls, d.MostCalls), max(r.Conns, d.MostConns), max(r.Cold, d.ColdShare)
 		r.Broken += d.Broken
 		r.Breaks = append(r.Breaks, d.Breaks...)
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -122,7 +122,8 @@
 // seen joins the oracle and the recorder.
 type seen struct {
 	*oracle.Oracle
-	to virtual.Recorder
+	to  virtual.Recorder
+	now func() time.Duration
 }
 
 func (s seen) Settled(op *world.Op, how world.Kind, at time.Duration) {
@@ -136,6 +137,7 @@
 type Witness interface {
 	Answered(a *world.Ask, out world.Outcome, at time.Duration)
 	JobCame(n *world.Node, j *world.Job, balancer int)
+	Called(at time.Duration) // discovery, by a balancer
 }
 
 func (s seen) Answered(a *world.Ask, out world.Outcome, at time.Duration) {
@@ -152,6 +154,13 @@
 	}
 }
 
+func (s seen) Called(balancer int) {
+	s.Oracle.Called(balancer)
+	if w, ok := s.to.(Witness); ok {
+		w.Called(s.now())
+	}
+}
+
 // Run plays a scenario from its beginning to its end, or until the context ends.
 func Run(ctx context.Context, sc *scenario.Scenario, opt Options) (*Record, error) {
 	if sc.Reports.How == "polled" {
@@ -219,7 +228,7 @@
 	if opt.Log != nil {
 		journal.Out = &locked{r}
 	}
-	r.world = world.New(sc, r.clock, r.src, journal, seen{r.oracle, opt.Recorder})
+	r.world = world.New(sc, r.clock, r.src, journal, seen{r.oracle, opt.Recorder, r.clock.Now})
 	r.oracle.Watch(r.world)
 	r.keep = newKeeper()
 	r.ways = newWays(r)
