--- a/internal/lab/sockets/rig.go
+++ b/internal/lab/sockets/rig.go
@@ -155,6 +155,7 @@
 	switch {
 	case from == "nodes" || to == "nodes":
 		duty = world.Repeating
+		counts = from != "nodes" || e.Kind != "line_cut_one_way" // what it sends then comes as ever
 	case from == "discovery" || to == "discovery" || e.Kind == "descriptors" || from == "" && e.Kind != "freeze" && e.Kind != "starve":
 		counts = false // it owes all that it owed before
 	}
