Play two cases near full load, on which the rig finds one more planted defect

Connections that are waited for twenty times as long break a rule where a quarter of the app nodes is cut off at 0.7 of the load; at half load nothing showed.

--- a/internal/lab/fleet/planted.go
+++ b/internal/lab/fleet/planted.go
@@ -48,7 +48,7 @@
 		New: `	if len(cfg.Known) > 1<<30 {`}, []string{"list-only"}},
 	{planted.Fault{Name: "stall-unseen", About: "an app node that shows no sign of life is sent on", File: "brain/brain.go",
 		Old: `	if s.noProbe >= silentFrom || n.stalled(h) || h.trial && h.inflight > 0 {`,
-		New: `	if s.noProbe >= silentFrom || h.trial && h.inflight > 0 {`}, []string{"some-stall", "nodes-mute"}},
+		New: `	if s.noProbe >= silentFrom || h.trial && h.inflight > 0 {`}, []string{"some-stall-full"}},
 	{planted.Fault{Name: "first-call-at-once", About: "balancers that start ask discovery at once, all of them", File: "brain/brain.go",
 		Old: `		n.arm(&n.askArmed, time.Duration(n.rng.Float64()*float64(first)), cookieAsk)`,
 		New: `		n.arm(&n.askArmed, first/1e6, cookieAsk)`}, []string{"all-start"}},
@@ -57,7 +57,7 @@
 		New: `	silence = time.Hour`}, []string{"discovery-silent"}},
 	{planted.Fault{Name: "dials-without-end", About: "a connection that does not come up is waited for", File: "internal/reducer/delegations.go",
 		Old: `	r.emit(Dial{k.id, d.srv.address, r.cfg.ConnectTimeout})`,
-		New: `	r.emit(Dial{k.id, d.srv.address, 20 * r.cfg.ConnectTimeout})`}, []string{"some-cut", "nodes-deaf"}},
+		New: `	r.emit(Dial{k.id, d.srv.address, 20 * r.cfg.ConnectTimeout})`}, []string{"some-cut-full"}},
 }
 
 // Found is what the rig says of a defect.
