--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -13,7 +13,6 @@
 	"io"
 	"time"
 
-	"pewterrudder/internal/lab/oracle"
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/sockets"
 	"pewterrudder/internal/lab/swarm"
@@ -41,7 +40,6 @@
 	Edits   sockets.Edits      `json:"edits"`
 	Faults  []Fault            `json:"faults"`
 	History *History           `json:"history"`
-	counts  *oracle.Counts     // of the oracles
 }
 
 // Fault is one that was played, from the first request on.
@@ -62,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Done{Scenario: sc.Name, Seed: opt.Seed, Void: rec.Void, Broken: rec.Broken, Edits: rec.Edits, History: h, counts: &rec.Counts}
+	d := &Done{Scenario: sc.Name, Seed: opt.Seed, Void: rec.Void, Broken: rec.Broken, Edits: rec.Edits, History: h}
 	for i := range rec.Breaks {
 		if b := &rec.Breaks[i]; i == 0 {
 			d.Way = swarm.Way(b)
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -231,6 +231,9 @@
 	return n
 }
 
+// beside is how many days are played at a time: enough for a verdict in a minute, and few enough for the processes' cores.
+var beside = make(chan struct{}, 6)
+
 func TestEachFaultBites(t *testing.T) {
 	kinds := map[string]bool{}
 	for _, b := range bites {
@@ -245,7 +248,6 @@
 			t.Errorf("nobody has seen %s bite", k.Name)
 		}
 	}
-	beside := make(chan struct{}, 4)
 	for _, b := range bites {
 		t.Run(b.kind, func(t *testing.T) {
 			t.Parallel()
@@ -263,7 +265,6 @@
 }
 
 func TestEachDiskBites(t *testing.T) {
-	beside := make(chan struct{}, 3)
 	for _, b := range diskBites {
 		t.Run(b.kind, func(t *testing.T) {
 			t.Parallel()
