Take lists that come indented: a watch is read by values, not by lines

A probe with a list over several lines on a real socket: "list 0: WatchEnded, unexpected end of JSON input", and so again with each new watch. Cause: registry.follow took each line for a list and ended the watch where one is not. A balancer in front of such a discovery never learns of a drain. Ruled out: joining lines until they parse, which parses a long list once per line; counting brackets by hand, which is the decoder's work. Change: values.go reads values with the decoder and says what is a sign of life: each byte of a value and blank lines between values. Blank lines inside a value are none, so that half a list and blank lines is silence (4 s) as half a list and nothing is. Lists of over 4 MB end the watch as lines of that length did. Tests on real sockets: a list over many lines, cut inside and with two in one piece; half a list, then nothing or blank lines. Without the mend the first fails with the error above; with blank lines taken for life everywhere the second fails with "the watch is still held".

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,14 +1,14 @@
-// Package registry owns the watch on discovery's list, read line by line: one call, and further ones beside it while
-// discovery says nothing. It hands on what it hears and says when a watch has ended. It must never open a watch that was
-// not asked for, nor keep a list of its own.
+// Package registry owns the watch on discovery's list, read value by value (values.go): one call, and further ones beside it
+// while discovery says nothing. It hands on what it hears and says when a watch has ended. It must never open a watch that
+// was not asked for, nor keep a list of its own.
 package registry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,7 +29,6 @@
 	besideAfter = 2500 * time.Millisecond
 	besideEvery = time.Second
 	besideHead  = patience - 100*time.Millisecond
-	maxLine     = 4 << 20
 )
 
 // entry is a config.Entry under discovery's names.
@@ -194,7 +193,7 @@
 	}
 }
 
-// follow makes one call and hands on its lines, nil for a blank one, until it ends.
+// follow makes one call and hands on its lists, nil for a blank line, until it ends.
 func (g *Registry) follow(outer context.Context, discovery string, since int64, line func(*reducer.List)) error {
 	ctx, stop := context.WithCancelCause(outer)
 	defer stop(nil)
@@ -213,15 +212,18 @@
 	}
 	quiet := time.AfterFunc(silence, func() { stop(errSilent) })
 	defer quiet.Stop()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
-	for lines.Scan() {
-		quiet.Reset(silence)
-		if len(lines.Bytes()) == 0 {
-			line(nil)
-			continue
+	lists := newValues(resp.Body, func() { quiet.Reset(silence) }, func() { line(nil) })
+	for {
+		raw, err := lists.next()
+		switch cause := context.Cause(ctx); {
+		case err != nil && cause != nil:
+			return cause
+		case err == io.EOF:
+			return errors.New("discovery ended it")
+		case err != nil:
+			return err
 		}
-		list, err := Decode(lines.Bytes(), g.started)
+		list, err := Decode(raw, g.started)
 		if err != nil {
 			g.log(err.Error())
 			if list.Members == nil && list.Revision == 0 {
@@ -230,11 +232,4 @@
 		}
 		line(&list)
 	}
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	if err := lines.Err(); err != nil {
-		return err
-	}
-	return errors.New("discovery ended it")
 }
