Notice clients that leave behind bytes, before they are read, or while an upload waits

Seen, by probes on real sockets: a client that sends a byte, half a request or many behind its own and leaves was never told of while its call waited ("the reducer heard nothing"); one that had left before its request was read was sent on ("9b1f was sent on for a client that has left"); one whose upload waited for an app node was noticed at the next read alone. Cause: net/http's read in the background ends with the first byte behind a request, starts once a body has been read, and reports behind our Arrived. Ruled out: taking the bytes behind off the socket to reach the end, which needs a bound of its own and fails past it; watching an upload by a read, since the socket has one reader at a time. Change (leaving.go): while a call is served, the read in the background waits for the end of the connection, whatever stands before it (MSG_PEEK, then POLLRDHUP), and takes no byte. RoundTrip looks once before the reducer hears of a call, and each 100 ms while a body is still to come. The last piece of a body is not passed on for a client that has closed behind it: its end may have stood behind more than the kernel takes at a time, where nobody can see it.

--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -36,26 +36,25 @@
 	call := r.Context().Value(callKey{}).(*reducer.Call)
 	out := call.Message.(*message.Call)
 	out.Request = r
+	nc := r.Context().Value(clientKey{}).(*client)
+	if nc.left() { // before we came to read its request
+		return nil, errGone
+	}
 	to := make(chan reducer.Reply, 1)
 	a.mu.Lock()
 	a.waiting[call.ID] = to
 	a.mu.Unlock()
 	a.post(reducer.Arrived{Call: call})
-	var reply reducer.Reply
-	select {
-	case reply = <-to:
-	case <-r.Context().Done():
-		if out.Upload == nil || !out.Upload.Interrupted() {
-			a.mu.Lock()
-			delete(a.waiting, call.ID)
-			a.mu.Unlock()
-			a.post(reducer.ClientGone{Call: call.ID})
-			return nil, errGone
-		}
-		reply = <-to // it was we who ended the reading, which net/http takes for the client's leaving
+	reply, err := a.await(r, call, nc, to)
+	if err != nil {
+		a.mu.Lock()
+		delete(a.waiting, call.ID)
+		a.mu.Unlock()
+		a.post(reducer.ClientGone{Call: call.ID})
+		return nil, err
 	}
 	// net/http's deadline counts from the head: a body may have taken longer than that, or a class wait longer.
-	r.Context().Value(clientKey{}).(*client).TCPConn.SetWriteDeadline(time.Now().Add(writePatience))
+	nc.TCPConn.SetWriteDeadline(time.Now().Add(writePatience))
 	resp := a.response(r, call, reply)
 	if up := out.Upload; up != nil && !up.Whole() { // an answer ends it, at the end of the handler
 		resp.Header.Set("Connection", "close")
@@ -63,6 +62,37 @@
 	return resp, nil
 }
 
+// await waits for the final answer of a call, or for its client to leave.
+func (a *Acceptor) await(r *http.Request, call *reducer.Call, nc *client, to <-chan reducer.Reply) (reducer.Reply, error) {
+	up := call.Message.(*message.Call).Upload
+	if up == nil {
+		select {
+		case reply := <-to:
+			return reply, nil
+		case <-r.Context().Done():
+			return reducer.Reply{}, errGone
+		}
+	}
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	gone := r.Context().Done()
+	for {
+		select {
+		case reply := <-to:
+			return reply, nil
+		case <-gone:
+			if !up.Interrupted() {
+				return reducer.Reply{}, errGone
+			}
+			gone = nil // it was we who ended the reading, which net/http takes for the client's leaving
+		case <-look.C:
+			if !up.Interrupted() && nc.left() {
+				return reducer.Reply{}, errGone
+			}
+		}
+	}
+}
+
 // response gives a final answer the form that the proxy takes.
 func (a *Acceptor) response(r *http.Request, call *reducer.Call, reply reducer.Reply) *http.Response {
 	resp := &http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r}
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -41,6 +41,7 @@
 	*net.TCPConn
 	heads    heads
 	lingers  atomic.Bool
+	calling  atomic.Bool // a request has been read and is being served
 	mu       sync.Mutex
 	leaving  bool
 	flows    bool
@@ -82,6 +83,9 @@
 }
 
 func (c *client) Read(p []byte) (int, error) {
+	if len(p) == 1 && c.calling.Load() {
+		return c.awaitEnd()
+	}
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.heads.came(p[:n])
@@ -188,6 +192,7 @@
 
 func (c *clients) changed(nc net.Conn, s http.ConnState) {
 	k := nc.(*client)
+	k.calling.Store(s == http.StateActive)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.silent, k)
--- /dev/null
+++ b/internal/acceptor/leaving.go
@@ -0,0 +1,71 @@
+package acceptor
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A client that closes its connection has left, and its call is not to be sent on any more. net/http notices the end of a
+// connection while a call is served, by a read of one byte in the background; but that read is over with the first byte
+// behind the request, is not there while a body is still to be read, and may come after the call has been sent on where the
+// client had left before it was read. So the end of a connection is looked for here, behind whatever else has come.
+
+// lookEvery is how often a call whose body is still to come is looked after: nobody reads its connection while it waits. A
+// call whose client has left must not be sent on 0.3 s later.
+const lookEvery = 100 * time.Millisecond
+
+// left says that the client has closed its connection, or that it is broken.
+func (c *client) left() (left bool) {
+	c.control(func(fd int) { left = hungUp(fd) })
+	return left
+}
+
+// awaitEnd is net/http's read in the background, without the byte: that stays where it is until its request is read. It
+// returns when the client has left, or with the read deadline that ends the waiting.
+func (c *client) awaitEnd() (int, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	if err == nil {
+		err = raw.Read(func(fd uintptr) bool { return hungUp(int(fd)) })
+	}
+	if err == nil {
+		err = io.EOF
+	}
+	return 0, err
+}
+
+// hungUp says that the peer of a socket has ended its side, or that the connection is broken. What it has sent before may
+// still wait to be read: then its state tells (POLLRDHUP, poll(2)).
+func hungUp(fd int) bool {
+	n, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return false
+	case err != nil || n == 0:
+		return true
+	}
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err = unix.Poll(p, 0)
+	return err == nil && n == 1 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// staying reads a body of a stated length, or one in chunks, for an app node, as long as the client stays: the last piece
+// of it is not passed on for one that has left. Its end may have stood behind more than the kernel takes at a time.
+type staying struct {
+	io.Reader
+	client *client
+	left   int64 // to come; below 0: that is not known
+}
+
+var errLeft = errors.New("the client has left behind its body")
+
+func (s *staying) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	s.left -= int64(n)
+	if (s.left == 0 || err == io.EOF) && s.client.left() {
+		return 0, errLeft
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/acceptor/leaving_test.go
@@ -0,0 +1,198 @@
+package acceptor
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"pewterrudder/internal/reducer"
+)
+
+// The ways in which a client ends its connection.
+var ends = map[string]func(*caller){
+	"close":      func(c *caller) { c.Conn.Close() },
+	"reset":      func(c *caller) { c.Conn.(*net.TCPConn).SetLinger(0); c.Conn.Close() },
+	"half close": func(c *caller) { c.Conn.(*net.TCPConn).CloseWrite() },
+}
+
+// heard is the next event that the reducer would get.
+func (f *front) heard() reducer.Event {
+	f.t.Helper()
+	select {
+	case e := <-f.events:
+		return e
+	case <-time.After(20 * time.Second):
+		f.t.Fatal("the reducer heard nothing")
+		return nil
+	}
+}
+
+func (f *front) heardLeave(call *reducer.Call) {
+	f.t.Helper()
+	if gone, ok := f.heard().(reducer.ClientGone); !ok || gone.Call != call.ID {
+		f.t.Fatalf("%+v", gone)
+	}
+}
+
+// A client may have sent bytes behind its request before it leaves: half of the next, or whole ones. Its leaving is told all
+// the same, and none of the requests behind is sent on.
+func TestAClientLeavesWithBytesBehindItsRequest(t *testing.T) {
+	next := strings.ReplaceAll(lookup, "\n", "\r\n") + "\r\n"
+	for how, end := range ends {
+		// What comes in one piece with the request is read with it, as far as the server's buffer goes; the rest, and what
+		// comes while the request is served, stands in the socket before the end.
+		for name, behind := range map[string][2]string{"nothing": {}, "a byte": {"G"}, "a byte later": {"", "G"}, "half": {next[:40]},
+			"half later": {"", next[:40]}, "two, one later": {next, next}, "much": {strings.Repeat(next, 60)}} {
+			t.Run(how+" behind "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newFront(t, 10)
+				c := f.dial().send(lookup, behind[0])
+				call := f.heard().(reducer.Arrived).Call
+				io.WriteString(c, behind[1])
+				end(c)
+				f.heardLeave(call)
+				f.dial().send(strings.Replace(lookup, "9b1f", "fence", 1), "")
+				if e := f.heard().(reducer.Arrived); e.Call.ClientID != "fence" {
+					t.Errorf("%s was sent on for a client that has left", e.Call.ClientID)
+				}
+			})
+		}
+	}
+}
+
+// Bytes behind a request are its successor, where the client stays: none is lost by the watch for its leaving.
+func TestRequestsBehindOneAnotherAreServed(t *testing.T) {
+	f := newFront(t, 10)
+	body := strings.Repeat("x", 5000)
+	var all strings.Builder
+	for i := range 5 {
+		all.WriteString(strings.Replace(lookup, "9b1f", fmt.Sprint(i), 1) + "\n")
+		all.WriteString("POST" + lookup[3:strings.Index(lookup, "X-Request")] + fmt.Sprintf("X-Request-Id: b%d\n", i) +
+			lookup[strings.Index(lookup, "X-Class"):] + fmt.Sprintf("Content-Length: %d\n\n%s", len(body), body))
+	}
+	wire := strings.ReplaceAll(all.String(), "\n", "\r\n")
+	c := f.dial()
+	sentAll := make(chan struct{})
+	first := make(chan struct{})
+	go func() {
+		defer close(sentAll)
+		c.Write([]byte(wire[:len(wire)/3]))
+		<-first // the rest comes while the first is served
+		c.Write([]byte(wire[len(wire)/3:]))
+	}()
+	for i := range 10 {
+		e, ok := f.heard().(reducer.Arrived)
+		want := fmt.Sprint(i / 2)
+		if i%2 == 1 {
+			want = "b" + want
+		}
+		if !ok || e.Call.ClientID != want || i%2 == 1 && string(sent(e.Call).Body) != body {
+			t.Fatalf("%d: %+v", i, e)
+		}
+		if i == 0 {
+			close(first)
+			<-sentAll
+		}
+		f.Answer(e.Call.ID, served(want))
+		if _, got := c.answer(); got != want {
+			t.Fatalf("%q for %q", got, want)
+		}
+	}
+}
+
+// lateListener hands a connection over once its client has left: so a busy process meets it.
+type lateListener struct {
+	net.Listener
+	t *testing.T
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		l.t.Error(err)
+	}
+	raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		for n := 0; n == 0; {
+			if n, err = unix.Poll(p, 20000); err != nil && err != unix.EINTR || n == 0 && err == nil {
+				l.t.Error("the client has not left", err)
+				return
+			}
+		}
+	})
+	return nc, nil
+}
+
+// A client that has left before its request was read is not served: nothing is to be sent on for it.
+func TestAClientThatLeftBeforeItWasRead(t *testing.T) {
+	post := func(length int) string { return "POST" + lookup[3:] + fmt.Sprintf("Content-Length: %d\n", length) }
+	for how, end := range ends {
+		for name, request := range map[string][2]string{"no body": {lookup, ""}, "a body": {post(4), "skip"},
+			"bytes behind": {lookup, "GET"}, "an upload": {post(100000), strings.Repeat("x", 100000)}} {
+			if how == "reset" { // the request is lost with the connection
+				continue
+			}
+			t.Run(how+" behind "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newFrontTaking(t, 10, 1<<20)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				go f.Serve(lateListener{l, t})
+				home := f.addr
+				f.addr = l.Addr().String()
+				c := f.dial().send(request[0], request[1])
+				end(c)
+				if how == "half close" { // it has its word, and the connection ends
+					if resp, err := http.ReadResponse(c.Reader, nil); err == nil && resp.StatusCode != http.StatusBadGateway {
+						t.Error(resp.Status)
+					}
+				}
+				f.addr = home
+				f.dial().send(strings.Replace(lookup, "9b1f", "fence", 1), "")
+				if e := f.heard().(reducer.Arrived); e.Call.ClientID != "fence" {
+					t.Errorf("%s was sent on for a client that has left", e.Call.ClientID)
+				}
+			})
+		}
+	}
+}
+
+// A client that leaves while its upload waits to be read is told of, whatever it has sent of it.
+func TestAClientLeavesWhileItsUploadWaits(t *testing.T) {
+	const length = 300_000
+	for how, end := range ends {
+		for _, came := range []int{0, 1, 100_000, length} {
+			t.Run(fmt.Sprintf("%s after %d bytes", how, came), func(t *testing.T) {
+				t.Parallel()
+				f := newFrontTaking(t, 10, 1<<20)
+				c := f.dial().send("POST"+lookup[3:]+fmt.Sprintf("Content-Length: %d\n", length), strings.Repeat("x", came))
+				call := f.heard().(reducer.Arrived).Call
+				if sent(call).Upload == nil {
+					t.Fatal("no upload")
+				}
+				end(c)
+				if came == length && how != "reset" {
+					// Its end may stand behind more than the kernel takes: it is seen once that is read, and before the last
+					// byte goes on to an app node.
+					all, err := io.ReadAll(sent(call).Upload)
+					if err == nil || len(all) >= length {
+						t.Errorf("%d bytes were read, %v", len(all), err)
+					}
+				}
+				f.heardLeave(call)
+			})
+		}
+	}
+}
