Send nothing that a drain, a deadline or a key's end has overtaken while a connection was made

Seen, by probes of the state: a call whose connection came up 400 ms after its app node was told to drain went there, with a grace of 250 ms; a kept connection that had ended was replaced by a new one to the app node, 1.5 s after the word; a call went out 10 ms before its deadline where the connection was heard of first, which random steps find as well ("call 1 goes out 0s before its time is over"). Where lists are pushed, a watch that was reset stayed closed for 1 s, four graces of another customer, while what the agent had counted as told. Cause: onDialed and place asked whether the call was over and its app node gone, not whether it drains or its time is up; watchAgain was a constant. Ruled out: sends that the module decides after the word (it picks ready ones alone); ask mode, where a watch that is closed binds by the settings' time for asking, not by the grace. Change: tooLate covers time and drains, the latter past half of the grace, since the word may have waited for us and the call waits for its writer; such an attempt ends as never sent. The pause before a pushed watch is an eighth of the grace, 20 ms to 1 s.

--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -33,7 +33,7 @@
 // place puts a delegation on the latest-used idle connection that has settled, else on the one that has rested for
 // the longest, else on a new one.
 func (r *Reducer) place(d *delegation) {
-	if d.call.over() || d.srv.gone || r.tooLate(d) { // over, or nobody there, while the connection was being made
+	if d.call.over() || d.srv.gone || r.tooLate(d) { // over, or nobody there, while a connection was being made
 		r.end(d, brain.NeverSent, nil)
 		return
 	}
@@ -67,15 +67,26 @@
 	r.emit(Dial{k.id, d.srv.address, r.cfg.ConnectTimeout})
 }
 
-// tooLate: the app nodes may have forgotten the call's key by now. The decision to repeat it came in time, but a
-// connection can take long to make: a cut that is mended lets the handshake through at its next try.
+// tooLate: what the module has decided must not go out any more. The decision came in time, but a connection can take long to
+// make: a cut that is mended lets the handshake through at its next try. By then the time of the call may be over, though
+// that stands behind this event; its app node may be draining for longer than is allowed; or the app nodes may have forgotten
+// its key.
 func (r *Reducer) tooLate(d *delegation) bool {
+	if !d.call.open && r.now >= d.call.deadline || r.draining(d.srv) {
+		return true
+	}
 	k := &r.cfg.Classes[d.call.Class]
 	return k.Repeat == brain.Keyed && slices.ContainsFunc(d.call.delegations, func(o *delegation) bool {
 		return o != d && o.asked > 0 && r.now-o.asked > k.Window-keyMargin
 	})
 }
 
+// draining says that an app node has not been in service for so long that nothing may be sent to it any more. Half of the
+// grace is left for what lies between: the word may have waited for us before we read it, and the call waits for its writer.
+func (r *Reducer) draining(s *server) bool {
+	return s.member.State != brain.Ready && r.now-s.leftAt >= r.cfg.Rules.DrainGrace/2
+}
+
 func (r *Reducer) exchange(k *conn, d *delegation) {
 	k.state, k.delg, d.conn, d.asked = busy, d, k, r.now
 	wait := d.call.deadline - r.now
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -40,8 +40,9 @@
 	settleFor = 10 * time.Millisecond
 	// sweepEvery is how often idle connections are looked through for old ones.
 	sweepEvery = time.Second
-	// watchAgain is the pause before a broken watch is opened again where the node does not ask by itself.
-	watchAgain = time.Second
+	// watchAgain is the longest pause before a broken watch is opened again where the node does not ask by itself. What its
+	// agent has counts as told all the while, so the pause is a part of the grace for drains, and not under watchLeast.
+	watchAgain, watchPart, watchLeast = time.Second, 8, 20 * time.Millisecond
 	// idKept is how long the client's id of a call that is over is remembered at the least, and idsMost bounds
 	// how many are: an id that comes back within that time is a copy.
 	idKept  = 3 * time.Second
@@ -299,11 +300,12 @@
 	member      brain.Member // as it counts
 	answered    time.Duration
 	failed      time.Duration
-	pools       uint64  // that it belongs to
-	seen        uint64  // the latest list that named it
-	at          int     // in Reducer.ordered
-	gone        bool    // off the list and out of the state: only what is still out refers to it
-	idle        []*conn // latest used last
+	leftAt      time.Duration // when it was last heard to be in service no more
+	pools       uint64        // that it belongs to
+	seen        uint64        // the latest list that named it
+	at          int           // in Reducer.ordered
+	gone        bool          // off the list and out of the state: only what is still out refers to it
+	idle        []*conn       // latest used last
 	conns       map[uint64]*conn
 }
 
@@ -572,7 +574,7 @@
 				}
 			}
 		} else {
-			r.emit(Arm{watchAgain, rewatch{}})
+			r.emit(Arm{r.watchPause(), rewatch{}})
 		}
 	case timer:
 		r.tell(e.pool, &brain.TimerFired{Cookie: e.cookie})
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -56,9 +56,10 @@
 	calls  map[uint64]*owed
 	last   uint64
 	timers []due
-	owner  map[string]due // by client's id: the call last delegated under it, and when
-	took   []Effect       // of the last event
-	parts  []Part         // asked for so far
+	owner  map[string]due           // by client's id: the call last delegated under it, and when
+	took   []Effect                 // of the last event
+	parts  []Part                   // asked for so far
+	left   map[string]time.Duration // app nodes that are not in service, by the list, since when
 
 	figures *Figures          // as last published
 	onto    map[uint64]uint64 // the call that a connection carries
@@ -105,7 +106,7 @@
 	if err != nil {
 		w.t.Fatalf("%v", err)
 	}
-	w.owner, w.onto = map[string]due{}, map[uint64]uint64{}
+	w.owner, w.onto, w.left = map[string]due{}, map[uint64]uint64{}, map[string]time.Duration{}
 	if w.met == nil {
 		w.met = map[string]int{}
 	}
@@ -134,6 +135,12 @@
 			if c := w.calls[e.Call.ID]; c.answers > 0 || c.gone || c.spent {
 				w.t.Fatalf("call %d goes out though nothing may: %+v", e.Call.ID, c)
 			}
+			if at, ok := w.left[w.r.conns[e.Conn].srv.id]; ok && w.now-at >= w.cfg.Rules.DrainGrace {
+				w.t.Fatalf("call %d goes to an app node %v after it was told to drain", e.Call.ID, w.now-at)
+			}
+			if c := w.calls[e.Call.ID]; w.now >= c.deadline-answerMargin {
+				w.t.Fatalf("call %d goes out %v before its time is over", e.Call.ID, c.deadline-w.now)
+			}
 			if e.Stall <= 0 || e.FlowStall <= e.Stall {
 				w.t.Fatalf("waits of %v and %v", e.Stall, e.FlowStall)
 			}
@@ -257,7 +264,16 @@
 	w.do(Dialed{id, err})
 }
 
-func (w *world) listed(l List) []Effect { return w.do(Listed{w.r.watch, l}) }
+func (w *world) listed(l List) []Effect {
+	for _, m := range l.Members {
+		if _, ok := w.left[m.Server]; m.State == brain.Ready {
+			delete(w.left, m.Server)
+		} else if !ok {
+			w.left[m.Server] = w.now
+		}
+	}
+	return w.do(Listed{w.r.watch, l})
+}
 
 func (w *world) exchanged(e Exchanged) {
 	if e.Result != Broke && e.Result != Stalled && e.Reuse && e.Written == Whole {
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/roster"
@@ -21,6 +22,11 @@
 	r.emit(Watch{r.watch, r.discovery, r.revision})
 }
 
+// watchPause is how long nothing is heard at the most between two watches.
+func (r *Reducer) watchPause() time.Duration {
+	return min(max(r.cfg.Rules.DrainGrace/watchPart, watchLeast), watchAgain)
+}
+
 // feed is work on the fleet that is under way: a list being entered, or the pools being dealt anew.
 type feed struct {
 	list  List
@@ -221,6 +227,9 @@
 	}
 	if was.State == brain.Ready {
 		r.ready--
+		if s.member.State != brain.Ready {
+			s.leftAt = r.now
+		}
 	}
 	if s.member.State == brain.Ready {
 		r.ready++
