Leave to the module what it decides of draining app nodes, and hold calls to what overtakes them

Cause: tooLate held every send against the drain, also the module's word of that very moment. Which server is the module's to say, and its faults have to show. Change: the drain is asked only of a delegation that was decided earlier and has waited for a connection.

--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -72,7 +72,7 @@
 // that stands behind this event; its app node may be draining for longer than is allowed; or the app nodes may have forgotten
 // its key.
 func (r *Reducer) tooLate(d *delegation) bool {
-	if !d.call.open && r.now >= d.call.deadline || r.draining(d.srv) {
+	if !d.call.open && r.now >= d.call.deadline || r.now > d.sent && r.draining(d.srv) { // what it decides now is its own
 		return true
 	}
 	k := &r.cfg.Classes[d.call.Class]
