Finish at the end whatever was taken, and take what crosses the end of its connection

Seen, by probes on real sockets and the real program: after SIGTERM, with classes of 300 ms, a flowing answer was cut at 131,072 of 1,048,576 bytes and a running upload lost its answer; a call of 2 min lost its answer where a reload to 300 ms came before SIGTERM; a request in the socket at the moment at which its connection was told to end (to make room, for operators, at the end) was never read; 60,000 bytes of answer ended after 36,864 with a reset where further requests stood unread behind the first; a 100 Continue was not sent once the longest deadline of the start and 2 s were over. Causes: Drain waited for the longest deadline in force, and then the process ended under what was open; a read deadline in the past makes Read fail though bytes are there; a close over unread bytes has the kernel drop its send buffer; WriteTimeout was fixed at the start. Ruled out: a deadline for the drain from the calls that are open, since flows have none; closing the listener alone at 0.72 s: a connection that says its first word later may be owed an answer at the kill. Change: Drain waits until all is answered (15 min at most, the largest body at the slowest pace; then an error names it). Connections without a call end before that, silent ones too, by their read deadline; what has come by then is read if a head is whole with it, half of one is as nothing. A connection with unsent and unread bytes takes the rest before it closes. Write deadlines are the connection's own, from write to write. TestDrainFinishesWhatWasTaken no longer hands Drain a patience of 10 s, which it has no more; it holds the rest as before.

--- /dev/null
+++ b/cmd/pewterrudder/ending_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pewterrudder/internal/lab/flowrig"
+)
+
+// What the program has taken it finishes, however long that takes beyond the deadlines in force at its end.
+
+// shortly has the classes of a stand last no longer than this.
+const shortly = 300 * time.Millisecond
+
+// ends signals the program to end, and waits until it takes no more; longer is past all deadlines of its last settings.
+func (s *stand) ends() {
+	s.t.Helper()
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.log.until(s.t, "draining")
+	for until := time.Now().Add(longAgo); ; time.Sleep(5 * time.Millisecond) {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			break
+		}
+		nc.Close()
+		if time.Now().After(until) {
+			s.t.Fatal("it goes on taking connections")
+		}
+	}
+}
+
+// outlasts gives a program that ends too early the time to do so. One that does not is not hurried by it.
+func (s *stand) outlasts(d time.Duration) {
+	time.Sleep(d)
+}
+
+func (s *stand) ended() {
+	s.t.Helper()
+	if err := s.cmd.Wait(); err != nil {
+		s.t.Errorf("the program's end: %v", err)
+	}
+	if !strings.Contains(s.log.String(), "drained") {
+		s.t.Error("it does not say that it was drained")
+	}
+}
+
+// An answer that flows, and a body that its client still sends, are taken: neither is bounded by a deadline.
+func TestTheEndWaitsForWhatFlows(t *testing.T) {
+	t.Parallel()
+	s := newStand(t, func(setup *flowrig.Setup) {
+		setup.Classes = []flowrig.Class{{Name: "bulk", Semantics: "safe", Deadline: shortly}}
+	})
+	body := flowrig.Content(flowrig.Named("the end waits"), 1<<20)
+	on := make(chan struct{})
+	_, resp := s.open(0, func(x *flowrig.Exchange) {
+		head, wire := framed("length", body)
+		x.Say(head)
+		x.Write(wire[:2*held])
+		<-on
+		x.Write(wire[2*held:])
+	})
+	up, begun := flowrig.Content(79, 1<<20), make(chan struct{})
+	ask := s.posts(nil, func(x *flowrig.Exchange) {
+		close(begun)
+		echo(x)
+	})
+	ask.Header = "Content-Length: " + strconv.Itoa(len(up)) + "\r\n"
+	c := s.dial(0)
+	c.Write([]byte(ask.Head()))
+	c.Write(up[:len(up)/2])
+	happens(t, "the upload has begun", begun)
+	s.ends()
+	s.outlasts(2 * shortly)
+	close(on)
+	if a := flowrig.Drain(resp, resp.Body); a.Told() || a.Sum != flowrig.Sum(body) {
+		t.Errorf("the answer: %s", a)
+	}
+	c.Write(up[len(up)/2:])
+	if status, text := read(t, c); status != http.StatusOK || text != want(up) {
+		t.Errorf("the upload: %d %q", status, text)
+	}
+	s.ended()
+}
+
+// A call keeps the deadline that it came with. Settings that allow less, and the end, may both come before its answer.
+func TestTheEndWaitsForCallsOfFormerSettings(t *testing.T) {
+	t.Parallel()
+	var long flowrig.Setup
+	s := newStand(t, func(setup *flowrig.Setup) { long = *setup })
+	asked, on := make(chan struct{}), make(chan struct{})
+	c := s.dial(0)
+	c.Send(s.plan(func(x *flowrig.Exchange) {
+		close(asked)
+		<-on
+		say(x, http.StatusOK, "late")
+	}))
+	happens(t, "the call has reached the app node", asked)
+	short := long
+	short.Classes = []flowrig.Class{{Name: "bulk", Semantics: "safe", Deadline: shortly}}
+	for _, v := range s.cmd.Env {
+		if path, ok := strings.CutPrefix(v, "RELAY_CONFIG="); ok {
+			if err := os.WriteFile(path, []byte(short.Config(s.addr)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	s.log.until(t, "reload: settings with")
+	s.ends()
+	s.outlasts(2 * shortly)
+	close(on)
+	if status, text := read(t, c); status != http.StatusOK || text != "late" {
+		t.Errorf("%d %q", status, text)
+	}
+	s.ended()
+}
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -203,7 +203,7 @@
 	if listener != nil {
 		go func() { served <- front.Serve(listener) }()
 	}
-	drained := make(chan struct{})
+	drained := make(chan error, 1)
 	for {
 		select {
 		case <-able:
@@ -271,8 +271,11 @@
 			others.show(eureka.OutOfService)
 			term = nil   // once is enough
 			served = nil // the listener ends by itself now
-			go func() { front.Drain(front.Longest()); close(drained) }()
-		case <-drained:
+			go func() { drained <- front.Drain() }()
+		case err := <-drained:
+			if err != nil {
+				return fmt.Errorf("drain: %w; what is open is cut off", err)
+			}
 			log.Print("drained")
 			return nil
 		}
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,13 +32,20 @@
 	// uploadPatience is what a client may fall behind the slowest pace of an upload: one that sends nothing is told within 3 s.
 	uploadPatience = 2500 * time.Millisecond
 	idlePatience   = 3 * time.Second // a connection without a call; a client whose next one crosses the close asks again
-	writePatience  = 2 * time.Second // for taking an answer, past the longest deadline
+	writePatience  = 2 * time.Second // for taking what is written at a time of an answer that is held
 	maxHeader      = 8 << 10
 	readyPath      = "/health/ready"
 	// drainFor is how long connections are still accepted after the signal to end. The front goes on sending
 	// new ones for a while and clients use those they have; what comes much later may not be finished before
 	// the kill.
 	drainFor = 720 * time.Millisecond
+	// partedWithin is how long connections may take to end by themselves, and partAgain how often those are told to that have
+	// come since.
+	partedWithin = 50 * time.Millisecond
+	partAgain    = 50 * time.Millisecond
+	// finishMost is how long what was taken may take to end after that: the largest body at the slowest pace, and its answer.
+	// Who cannot wait so long kills the process, which then has taken nothing that it could have answered sooner.
+	finishMost = 15 * time.Minute
 )
 
 // Acceptor serves clients.
@@ -68,9 +74,6 @@
 // Retune puts other terms in force for the requests that are read from now on.
 func (a *Acceptor) Retune(t Terms) { a.terms.Store(&t) }
 
-// Longest is the longest deadline in force.
-func (a *Acceptor) Longest() time.Duration { return slices.Max(a.terms.Load().Deadlines) }
-
 // Bounds of the bodies that flow.
 type Bounds struct {
 	Upload     int64         // the longest body taken from a client; up to flow.Hold it is held whole
@@ -81,7 +84,6 @@
 // longer than its deadline.
 func New(now func() time.Duration, post func(reducer.Event), classes, tenants map[string]int,
 	deadlines []time.Duration, budget, kept int, bounds Bounds) *Acceptor {
-	longest := slices.Max(deadlines)
 	a := &Acceptor{now: now, post: post, bounds: bounds,
 		conns: newClients(budget, kept), waiting: map[uint64]chan reducer.Reply{}}
 	a.Retune(Terms{classes, tenants, deadlines})
@@ -128,7 +130,7 @@
 				nc.lingers.Store(true) // the client still sends, and will look for its answer behind that
 			}
 		}),
-		ReadHeaderTimeout: headerPatience, WriteTimeout: longest + writePatience, IdleTimeout: idlePatience,
+		ReadHeaderTimeout: headerPatience, IdleTimeout: idlePatience,
 		MaxHeaderBytes: maxHeader, ConnState: a.conns.changed,
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			return context.WithValue(ctx, clientKey{}, nc)
@@ -149,14 +151,23 @@
 // Ready lets the front in.
 func (a *Acceptor) Ready() { a.ready.Store(true) }
 
-// Drain ends the service: every answer from now on closes its connection, new connections are taken for a
-// while yet, and then all that was taken is finished.
-func (a *Acceptor) Drain(patience time.Duration) {
+// Drain ends the service: every answer from now on closes its connection, new connections are taken for a while yet, and
+// then all that was taken is finished, however long ago: each call ends by its own deadline, under settings that may have
+// changed since, each body by the pace that is asked of its client, each answer by the patience with both sides. What is
+// still open after finishMost is named in the error.
+func (a *Acceptor) Drain() error {
 	a.draining.Store(true)
 	time.Sleep(drainFor)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), finishMost)
 	defer cancel()
-	a.server.Shutdown(ctx)
+	// Those that carry no call end first by themselves, so that a request that has come on one of them is still taken: net/http
+	// closes what it has not read. What says its first word later than this may not be finished before the kill.
+	a.conns.part(true)
+	a.conns.parted(partedWithin)
+	stop := make(chan struct{})
+	defer close(stop)
+	go a.conns.keepParting(stop)
+	return a.server.Shutdown(ctx)
 }
 
 // Turn says whether clients are sent away: each answer then ends its connection, and the front is told no.
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -316,7 +316,12 @@
 	before := f.dial().send(lookup, "")
 	first := (<-f.events).(reducer.Arrived).Call
 	began, ended := time.Now(), make(chan struct{})
-	go func() { f.Drain(10 * time.Second); close(ended) }()
+	go func() {
+		if err := f.Drain(); err != nil {
+			t.Error(err)
+		}
+		close(ended)
+	}()
 	for !f.draining.Load() {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -53,8 +53,6 @@
 		a.post(reducer.ClientGone{Call: call.ID})
 		return nil, err
 	}
-	// net/http's deadline counts from the head: a body may have taken longer than that, or a class wait longer.
-	nc.TCPConn.SetWriteDeadline(time.Now().Add(writePatience))
 	resp := a.response(r, call, reply)
 	if up := out.Upload; up != nil && !up.Whole() { // an answer ends it, at the end of the handler
 		resp.Header.Set("Connection", "close")
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -21,8 +21,8 @@
 // Clients may also keep connections for good that they have used once, and the front opens a limited number: those
 // idle for the longest go where more than kept are open that have been heard of.
 //
-// Room is made by a read deadline in the past, where a close would cut off a request that comes at that moment:
-// once net/http has its header, the connection is active and keeps its place.
+// Room is made by a read deadline in the past, where a close would cut off a request that comes at that moment: what has
+// come by then is read all the same, and once net/http has its header, the connection is active and keeps its place.
 type clients struct {
 	budget, kept int // under mu
 	whole        [2]int
@@ -35,8 +35,8 @@
 	idle         map[*client]uint64 // between calls, by order of their last answers
 }
 
-// client is a client's connection. Its read deadlines are net/http's, but for one that has to make room, and its write
-// deadlines too, but for the time that an answer flows.
+// client is a client's connection. Its read deadlines are net/http's, but for one that has to make room. Its write deadlines
+// are its own, from write to write: no limit that is known at the start fits all that settings may come to allow.
 type client struct {
 	*net.TCPConn
 	heads    heads
@@ -45,7 +45,7 @@
 	mu       sync.Mutex
 	leaving  bool
 	flows    bool
-	patience time.Duration // while the client takes nothing
+	patience time.Duration // while the client takes nothing, of this answer; 0: writePatience
 	fed      int64         // bytes written, by the one that writes alone
 	taken    int64         // of these, acknowledged when that was last looked at
 	takenAt  time.Time     // when that had grown last
@@ -71,8 +71,6 @@
 	if flows {
 		c.takenAt = time.Now()
 		c.control(func(fd int) { unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsent) })
-	} else {
-		c.TCPConn.SetWriteDeadline(time.Now().Add(max(patience, writePatience))) // for net/http's last bytes of it
 	}
 }
 
@@ -87,17 +85,54 @@
 		return c.awaitEnd()
 	}
 	n, err := c.TCPConn.Read(p)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.isLeaving() {
+		n, err = c.there(p, err)
+	}
 	if n > 0 {
 		c.heads.came(p[:n])
 	}
 	return n, err
 }
 
+func (c *client) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+// there reads what has come, if a request's head is whole with it, and does not wait for more: half of one is as nothing.
+func (c *client) there(p []byte, late error) (int, error) {
+	n := 0
+	c.control(func(fd int) {
+		if n, _, _ = unix.Recvfrom(fd, p, unix.MSG_PEEK|unix.MSG_DONTWAIT); n > 0 && c.heads.completed(p[:n]) {
+			n, _, _ = unix.Recvfrom(fd, p[:n], unix.MSG_DONTWAIT)
+		} else {
+			n = 0
+		}
+	})
+	if n > 0 {
+		return n, nil
+	}
+	return 0, late
+}
+
+// cutsOff says that a close would lose what the client has not been sent yet: the kernel answers what nobody has read with a
+// reset, and drops its send buffer.
+func (c *client) cutsOff() bool {
+	unsent, unread := 0, 0
+	c.control(func(fd int) {
+		if unsent, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ); unsent > 0 {
+			unread, _, _ = unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		}
+	})
+	return unread > 0
+}
+
 // Close ends a connection. Where the client still sends a body that nobody wants any more, that is taken until the client has
 // seen its answer and closes, or falls behind the slowest pace of an upload: closing at once would reset the connection, and
 // the answer with it.
 func (c *client) Close() error {
-	if !c.lingers.Swap(false) {
+	if !c.lingers.Swap(false) && !c.cutsOff() {
 		return c.TCPConn.Close()
 	}
 	defer c.TCPConn.Close()
@@ -121,6 +156,7 @@
 	flows, patience := c.flows, c.patience
 	c.mu.Unlock()
 	if !flows {
+		c.TCPConn.SetWriteDeadline(time.Now().Add(max(patience, writePatience)))
 		n, err = c.TCPConn.Write(p)
 		c.fed += int64(n)
 		return n, err
@@ -208,6 +244,7 @@
 			c.dismiss(c.idle)
 		}
 	case http.StateActive:
+		k.flow(false, 0)
 		if k.leave(false) {
 			c.leaving--
 		}
@@ -253,6 +290,32 @@
 	}
 }
 
+// parted waits until the connections that were told to end have ended, or for so long.
+func (c *clients) parted(within time.Duration) {
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		left := c.leaving
+		c.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// keepParting tells those to end that come to carry no call, until it is stopped.
+func (c *clients) keepParting(stop <-chan struct{}) {
+	again := time.NewTicker(partAgain)
+	defer again.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-again.C:
+			c.part(true)
+		}
+	}
+}
+
 // room waits until one more connection may be open.
 func (c *clients) room() {
 	c.mu.Lock()
--- a/internal/acceptor/framing.go
+++ b/internal/acceptor/framing.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// completed says that with these bytes the head that is coming in would be whole.
+func (h *heads) completed(b []byte) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.rest != 0 {
+		return false
+	}
+	if len(h.head) == 0 {
+		b = bytes.TrimLeft(b, "\r\n")
+	}
+	return ending(append(bytes.Clone(h.head), b...), max(0, len(h.head)-3)) >= 0
+}
+
 // ending is where a head ends, behind its empty line; -1: not yet.
 func ending(b []byte, from int) int {
 	for i := from; i < len(b); i++ {
