--- a/cmd/pewterrudder/ending_test.go
+++ b/cmd/pewterrudder/ending_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"net"
 	"net/http"
 	"os"
@@ -120,3 +121,34 @@
 	}
 	s.ended()
 }
+
+// A drain is told while the connection for a call is being made, and that comes up long after: the call does not go there, and
+// has its answer.
+func TestADrainOvertakesAConnection(t *testing.T) {
+	t.Parallel()
+	d := newDoor(t)
+	at, tell := phases(t)
+	l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes, setup.Discovery = []string{d.addr}, at })}
+	l.ask("owed", "bulk", "", "")
+	d.knocked()
+	tell <- phase(2, d.addr, "Terminating")
+	for n := 0; ; n++ { // until it is known
+		ask := l.plan(fine)
+		ask.Wait = 100 * time.Millisecond
+		if a := l.fetch(ask); a.Status == http.StatusServiceUnavailable {
+			break
+		} else if n > 100 {
+			t.Fatal(a)
+		}
+	}
+	d.open()
+	d.let()
+	l.nc.SetReadDeadline(time.Now().Add(longAgo))
+	resp, err := http.ReadResponse(bufio.NewReader(l.nc), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%+v %v", resp, err)
+	}
+	if d.got("owed") {
+		t.Error("it was sent to an app node that drains")
+	}
+}
--- a/cmd/pewterrudder/sites_test.go
+++ b/cmd/pewterrudder/sites_test.go
@@ -80,7 +80,9 @@
 
 // named gives the name that a text is, or has as a word.
 func siteIn(text string, names []string) string {
-	words := strings.FieldsFunc(text, func(r rune) bool { return !strings.ContainsRune("-_.", r) && !('a' <= r|32 && r|32 <= 'z') && !('0' <= r && r <= '9') })
+	words := strings.FieldsFunc(text, func(r rune) bool {
+		return !strings.ContainsRune("-_.", r) && !('a' <= r|32 && r|32 <= 'z') && !('0' <= r && r <= '9')
+	})
 	for _, n := range names {
 		if strings.EqualFold(text, n) || len(n) > 2 && slices.ContainsFunc(words, func(w string) bool { return strings.EqualFold(w, n) }) {
 			return n
--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -40,6 +40,7 @@
 	if nc.left() { // before we came to read its request
 		return nil, errGone
 	}
+	out.Left = nc.left
 	to := make(chan reducer.Reply, 1)
 	a.mu.Lock()
 	a.waiting[call.ID] = to
--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -74,7 +74,8 @@
 	call      *message.Call
 	stall     time.Duration // for the next bytes, inside the answer
 	flowStall time.Duration // the same once it flows
-	begun     bool          // the writer has found the connection quiet; under the connection's lock
+	begun     bool          // the writer has found the connection quiet, and the client there; under the connection's lock
+	left      bool          // the client was not; valid once written is closed
 	written   chan struct{} // closed when the writer has ended
 	whole     bool          // valid once written is closed
 	feed      *feed         // of an upload
--- a/internal/delegation/delegation_test.go
+++ b/internal/delegation/delegation_test.go
@@ -290,3 +290,28 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+// Before the first byte of a call goes out, its client is looked for once more. For one that has left nothing is written, and
+// the connection ends.
+func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
+	for _, upload := range []bool{false, true} {
+		k := newLink(t)
+		call := &message.Call{Left: func() bool { return true }}
+		if upload {
+			call.Upload = flow.NewUpload(strings.NewReader("skip"), 4, 10, time.Hour, time.Now, func(time.Time) {}, func(time.Time) {})
+		}
+		k.sendAs(call)
+		if e := k.ended(); e.Written != reducer.Nothing || e.Result != reducer.Left || e.Reuse || e.Spent {
+			t.Errorf("%+v", e)
+		}
+		k.set.Close(reducer.Close{Conn: 1})
+		if all, _ := io.ReadAll(k.read); len(all) > 0 { // the end may be a reset
+			t.Errorf("the app node got %q", all)
+		}
+	}
+	k := newLink(t)
+	k.sendAs(&message.Call{Left: func() bool { return false }})
+	if _, err := http.ReadRequest(k.read); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/delegation/read.go
+++ b/internal/delegation/read.go
@@ -84,7 +84,11 @@
 				return
 			}
 			<-job.written // with nothing written
-			k.set.post(reducer.Exchanged{Conn: k.id, Written: reducer.Nothing, Err: errTurn})
+			e := reducer.Exchanged{Conn: k.id, Written: reducer.Nothing, Err: errTurn}
+			if job.left {
+				e.Result = reducer.Left
+			}
+			k.set.post(e)
 			return
 		}
 		k.mu.Unlock()
--- a/internal/delegation/write.go
+++ b/internal/delegation/write.go
@@ -51,7 +51,10 @@
 		err = out.Write(&wire)
 	}
 	k.mu.Lock()
-	job.begun = err == nil && !k.dead && k.quiet()
+	// The last look: what led here may have waited, for a connection or for its turn on a busy machine, and the client's leaving
+	// may stand behind it in the queue.
+	job.left = job.call.Left != nil && job.call.Left()
+	job.begun = err == nil && !job.left && !k.dead && k.quiet()
 	begun := job.begun
 	k.mu.Unlock()
 	if begun {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,6 +14,7 @@
 	Body    []byte
 	Upload  *flow.Upload // in place of Body, where that is too large to be held
 	Trailer http.Header  // of an upload in chunks: filled by the time its body has come to its end
+	Left    func() bool  // whether the client has closed its connection; nil: nobody knows. It waits for nothing
 }
 
 // Answer is an app node's answer for the client.
--- a/internal/reducer/crossing_test.go
+++ b/internal/reducer/crossing_test.go
@@ -93,3 +93,26 @@
 		}
 	}
 }
+
+// The client of a call is seen to have left when that is to be written, while the word of its leaving still waits: the call is
+// over with all that is out for it, and the word finds nothing.
+func TestTheLastLookComesBeforeTheWord(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		w := &world{t: t, now: time.Hour, cfg: settings()}
+		w.cfg.CanCancel = cancel
+		w.start(10, "a:1", "b:1")
+		id := w.call(0, 600*ms)
+		w.dialed(1, nil)
+		w.exchanged(Exchanged{Conn: 1, Written: Nothing, Result: Left})
+		if w.conns[1] != closed || len(w.in(dialing)) != 0 {
+			t.Errorf("connection %s, and %d are made for it", names[w.conns[1]], len(w.in(dialing)))
+		}
+		if c := w.r.counts; c.Left != 1 || w.r.Open() != 0 {
+			t.Errorf("%+v, %d calls open", c, w.r.Open())
+		}
+		w.gone(id)
+		if c := w.r.counts; c.Left != 1 || c.active() != 0 {
+			t.Errorf("%+v", c)
+		}
+	}
+}
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -196,6 +196,15 @@
 		r.place(d)
 		return
 	}
+	if e.Result == Left && e.Written == Nothing { // it was seen when the call was to be written, before ClientGone came here
+		if !c.done {
+			r.onClientGone(c)
+		}
+		if !d.over {
+			r.end(d, brain.Cancelled, nil)
+		}
+		return
+	}
 	if d.shot && e.Result != Good && e.Result != Unusable && e.Result != NoRoom {
 		w := e.Written
 		if e.Result == Shed {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -215,7 +215,7 @@
 	Shed                   // the app node says that it never ran
 	Unusable               // the app node says that the call is at fault
 	NoRoom                 // it is larger than what is held, and there was no memory for it to flow
-	Left                   // the client's side gave it up, while the answer flowed or the body was still to come
+	Left                   // the client's side gave it up, while the answer flowed, the body was still to come or nothing was written yet
 )
 
 // List is discovery's word in the node's terms.
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -283,6 +283,10 @@
 		w.idleAt[e.Conn] = w.now
 	}
 	c := w.calls[w.onto[e.Conn]]
+	if e.Result == Left && e.Written == Nothing && c.answers == 0 {
+		c.gone = true
+		w.becomes("seen to have left at the last look")
+	}
 	if c.spent = c.spent || e.Spent; c.flow == e.Conn {
 		c.flow = 0
 		w.becomes(fmt.Sprintf("flowing, ended with result %d", e.Result))
@@ -361,6 +365,9 @@
 			"exchanged": func(t *rapid.T) {
 				if id, ok := pick(busy); ok {
 					e := Exchanged{Conn: id, Written: rapid.SampledFrom([]Written{Nothing, Partly, Whole}).Draw(t, "written")}
+					if e.Written == Nothing && rapid.Bool().Draw(t, "left") {
+						e.Result = Left
+					}
 					if e.Written != Nothing {
 						e.Result = rapid.SampledFrom([]Result{Broke, Broke, Stalled, Good, Good, Good, Errored, Shed, Unusable, NoRoom, Left}).Draw(t, "result")
 						e.Reuse = e.Result > Stalled && rapid.Bool().Draw(t, "reuse")
@@ -475,7 +482,7 @@
 	"call: answered, kind 1, flowing true", "call: answered, kind 2, flowing false", "call: answered, kind 3, flowing false",
 	"call: answered, kind 4, flowing false", "call: flowing, the client left", "call: flowing, past its deadline",
 	"call: flowing, ended with result 0", "call: flowing, ended with result 1", "call: flowing, ended with result 2",
-	"call: flowing, ended with result 7",
+	"call: flowing, ended with result 7", "call: seen to have left at the last look",
 }
 
 // A connection that the app node closed just before the write was never used: the call goes out on a new one
