Take a request that comes as the time of its connection runs out

Seen: with the time of a kept or a new connection over at the moment at which its request is in the socket, the request was not read and the connection ended ("the reducer heard nothing"), as it was with those told to make room. Cause: Read fails by its deadline whether there is something to read or not. Change: the same look for a whole head covers every deadline of a connection without a call, not only that of one told to end. Ruled out: a longer time, which only moves the instant.

--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -22,7 +22,8 @@
 // idle for the longest go where more than kept are open that have been heard of.
 //
 // Room is made by a read deadline in the past, where a close would cut off a request that comes at that moment: what has
-// come by then is read all the same, and once net/http has its header, the connection is active and keeps its place.
+// come by then is read all the same, as it is where the time of a connection without a call runs out, and once net/http has
+// its header, the connection is active and keeps its place.
 type clients struct {
 	budget, kept int // under mu
 	whole        [2]int
@@ -85,8 +86,8 @@
 		return c.awaitEnd()
 	}
 	n, err := c.TCPConn.Read(p)
-	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.isLeaving() {
-		n, err = c.there(p, err)
+	if err != nil && !c.calling.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.there(p, err) // its time is over, or it has to make room
 	}
 	if n > 0 {
 		c.heads.came(p[:n])
@@ -94,12 +95,6 @@
 	return n, err
 }
 
-func (c *client) isLeaving() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaving
-}
-
 // there reads what has come, if a request's head is whole with it, and does not wait for more: half of one is as nothing.
 func (c *client) there(p []byte, late error) (int, error) {
 	n := 0
--- a/internal/acceptor/ending_test.go
+++ b/internal/acceptor/ending_test.go
@@ -59,12 +59,13 @@
 	}
 }
 
-// A request may have come on a connection at the moment at which that is told to end, since it carried none: to make room,
-// for operators, or at the end. It is read and answered all the same, on the last leg of its connection or not.
+// A request may have come on a connection at the moment at which that ends, since it carried none: because its time is over,
+// to make room, for operators, or at the end. It is read and answered all the same, on the last leg of its connection or not.
 func TestARequestCrossesTheEndOfItsConnection(t *testing.T) {
 	request := strings.ReplaceAll(lookup, "\n", "\r\n") + "\r\n"
 	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
 		for name, end := range map[string]func(*front){
+			"time":   func(f *front) {}, // see below
 			"parted": func(f *front) { f.Part(true) },
 			"room": func(f *front) {
 				f.conns.mu.Lock()
@@ -84,7 +85,15 @@
 			t.Run(fmt.Sprintf("%s, %v", name, state), func(t *testing.T) {
 				t.Parallel()
 				g := newGate(state)
-				f := newFrontWith(t, 10, 0, g.into)
+				f := newFrontWith(t, 10, 0, func(a *Acceptor) {
+					g.into(a)
+					if name != "time" {
+						return
+					}
+					if a.server.IdleTimeout = 1; state == http.StateNew {
+						a.server.ReadHeaderTimeout = 1 // over before anything is read
+					}
+				})
 				c := f.dial()
 				if state == http.StateIdle {
 					c.send(lookup, "")
