Test that a list before a reset is heard, and that an answer outlives the process

Two crossings of the inventory that had no test: a list is the last that discovery says before it resets the watch, inside a chunk and without chunks; the last answer lies in the kernel when the process is gone. The first fails where a watch drops what it holds at an error, the second where the process resets its connections.

--- a/cmd/pewterrudder/ending_test.go
+++ b/cmd/pewterrudder/ending_test.go
@@ -152,3 +152,25 @@
 		t.Error("it was sent to an app node that drains")
 	}
 }
+
+// The last answer may lie in the kernel when the process is gone, for a client that reads slowly: it arrives all the same.
+func TestAnAnswerOutlivesTheProcess(t *testing.T) {
+	t.Parallel()
+	s := newStand(t, nil)
+	body := flowrig.Content(flowrig.Named("outlives"), 60_000)
+	asked, on := make(chan struct{}), make(chan struct{})
+	c := s.dial(farWindow)
+	c.Send(s.plan(func(x *flowrig.Exchange) {
+		close(asked)
+		<-on
+		send(x, "length", body)
+	}))
+	happens(t, "the call has reached the app node", asked)
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.log.until(t, "draining")
+	close(on)
+	s.ended()
+	if a := c.Receive("GET"); a.Told() || a.Sum != flowrig.Sum(body) || !a.Close {
+		t.Errorf("%s, close %v", a, a.Close)
+	}
+}
--- a/internal/registry/values_test.go
+++ b/internal/registry/values_test.go
@@ -124,3 +124,25 @@
 	}
 	return len(p) &^ 1, nil
 }
+
+// A list may be the last that a discovery says before its connection is reset: it has been told, and comes before the end of the
+// watch, whole lists at least.
+func TestAListBeforeTheResetIsHeard(t *testing.T) {
+	for _, framing := range []string{"Transfer-Encoding: chunked\r\n", ""} {
+		g, at, events := discovery(t, func(_ string, nc net.Conn) {
+			list := indented(t) + "\n" + change[:50]
+			if framing != "" {
+				list = fmt.Sprintf("%x\r\n%s", len(list)+1, list) // it ends inside a chunk
+			}
+			fmt.Fprint(nc, "HTTP/1.1 200 OK\r\n"+framing+"\r\n"+list)
+			nc.(*net.TCPConn).SetLinger(0)
+		})
+		g.Watch(reducer.Watch{ID: 7, Discovery: at, Since: 41})
+		if l, ok := next(t, events).(reducer.Listed); !ok || l.List.Revision != 43 || len(l.List.Members) != 1 {
+			t.Fatalf("%q: %+v", framing, l)
+		}
+		if e, ok := next(t, events).(reducer.WatchEnded); !ok || e.Watch != 7 {
+			t.Fatalf("%q: %+v", framing, e)
+		}
+	}
+}
