Have the test of the last answer wait until answers end their connections

Seen: in a run of all tests on four crowded cores the test failed once, "close false": the answer came in the instant between the log's line and the moment from which answers end their connections.

--- a/cmd/pewterrudder/ending_test.go
+++ b/cmd/pewterrudder/ending_test.go
@@ -167,7 +167,14 @@
 	}))
 	happens(t, "the call has reached the app node", asked)
 	s.cmd.Process.Signal(syscall.SIGTERM)
-	s.log.until(t, "draining")
+	until(t, "it says that it is not ready, as from then on answers end their connections", func() bool {
+		resp, err := http.Get("http://" + s.addr + "/health/ready")
+		if err != nil {
+			return true
+		}
+		resp.Body.Close()
+		return resp.StatusCode != http.StatusOK
+	})
 	close(on)
 	s.ended()
 	if a := c.Receive("GET"); a.Told() || a.Sum != flowrig.Sum(body) || !a.Close {
