See a client's leaving within 20 ms, and where its connection is closed or full

Rule: no attempt, first or further, begins over 0.1 s after its client closed. What was seen, each by a test that failed before the change: - Left(), which a writer asks just before the first byte of an attempt, said "there" for a connection that net/http had closed on our side by then (SyscallConn().Control fails on a closed connection, and the result stayed false). The word of the leaving may still stand in the reducer's queue at that moment, so the attempt went out. A closed connection now counts as left. - A client that sends more behind its request than the kernel takes (it took 90 to 128 KB of 1 MB here) and goes was never seen to go: its FIN is not sent before the window opens. Once half of the receive buffer has been full for 60 ms the client counts as gone where an attempt is to begin, and its call ends with a word. One look is two system calls. - An upload whose first bytes are waited for inside the attempt passed them on where the client had left behind them. The first piece is now looked at as the last one was. Ruled out: the wait of a plain call is told by the poller at once (awaitEnd), and each attempt is looked at before its first byte, so pauses between attempts need no look of their own.

--- a/internal/acceptor/answer.go
+++ b/internal/acceptor/answer.go
@@ -40,13 +40,25 @@
 	if nc.left() { // before we came to read its request
 		return nil, errGone
 	}
-	out.Left = nc.left
+	ended := make(chan struct{})
+	var once sync.Once
+	out.Left = func() bool {
+		look := nc.lost
+		if out.Upload != nil && !out.Upload.Whole() { // what stands there is its own
+			look = nc.left
+		}
+		left := look()
+		if left {
+			once.Do(func() { close(ended) })
+		}
+		return left
+	}
 	to := make(chan reducer.Reply, 1)
 	a.mu.Lock()
 	a.waiting[call.ID] = to
 	a.mu.Unlock()
 	a.post(reducer.Arrived{Call: call})
-	reply, err := a.await(r, call, nc, to)
+	reply, err := a.await(r, call, out.Left, ended, to)
 	if err != nil {
 		a.mu.Lock()
 		delete(a.waiting, call.ID)
@@ -61,31 +73,29 @@
 	return resp, nil
 }
 
-// await waits for the final answer of a call, or for its client to leave.
-func (a *Acceptor) await(r *http.Request, call *reducer.Call, nc *client, to <-chan reducer.Reply) (reducer.Reply, error) {
+// await waits for the final answer of a call, or for its client to leave: ended says that somebody has seen that.
+func (a *Acceptor) await(r *http.Request, call *reducer.Call, left func() bool, ended <-chan struct{}, to <-chan reducer.Reply) (reducer.Reply, error) {
 	up := call.Message.(*message.Call).Upload
-	if up == nil {
-		select {
-		case reply := <-to:
-			return reply, nil
-		case <-r.Context().Done():
-			return reducer.Reply{}, errGone
-		}
-	}
-	look := time.NewTicker(lookEvery)
-	defer look.Stop()
 	gone := r.Context().Done()
+	var looks <-chan time.Time
+	if up != nil {
+		look := time.NewTicker(lookEvery)
+		defer look.Stop()
+		looks = look.C
+	}
 	for {
 		select {
 		case reply := <-to:
 			return reply, nil
+		case <-ended:
+			return reducer.Reply{}, errGone
 		case <-gone:
-			if !up.Interrupted() {
+			if up == nil || !up.Interrupted() {
 				return reducer.Reply{}, errGone
 			}
 			gone = nil // it was we who ended the reading, which net/http takes for the client's leaving
-		case <-look.C:
-			if !up.Interrupted() && nc.left() {
+		case <-looks:
+			if !up.Interrupted() && left() {
 				return reducer.Reply{}, errGone
 			}
 		}
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -50,6 +50,7 @@
 	fed      int64         // bytes written, by the one that writes alone
 	taken    int64         // of these, acknowledged when that was last looked at
 	takenAt  time.Time     // when that had grown last
+	fullFrom time.Time     // since when the kernel may take no more of what stands behind the request; zero: it does
 }
 
 const (
@@ -91,6 +92,9 @@
 	}
 	if n > 0 {
 		c.heads.came(p[:n])
+		c.mu.Lock()
+		c.fullFrom = time.Time{} // there is room again
+		c.mu.Unlock()
 	}
 	return n, err
 }
--- a/internal/acceptor/leaving.go
+++ b/internal/acceptor/leaving.go
@@ -13,22 +13,56 @@
 // behind the request, is not there while a body is still to be read, and may come after the call has been sent on where the
 // client had left before it was read. So the end of a connection is looked for here, behind whatever else has come.
 
-// lookEvery is how often a call whose body is still to come is looked after: nobody reads its connection while it waits. A
-// call whose client has left must not be sent on 0.3 s later.
-const lookEvery = 100 * time.Millisecond
+const (
+	// lookEvery is how often a call whose body is still to come is looked after: nobody reads its connection while it waits. No
+	// attempt may begin 0.1 s after the client has left; one look is two system calls.
+	lookEvery = 20 * time.Millisecond
+	// unseenFor is how long the end of a client may stand behind what the kernel takes no more of before the client counts as
+	// gone: a little under those 0.1 s.
+	unseenFor = 60 * time.Millisecond
+)
 
-// left says that the client has closed its connection, or that it is broken.
-func (c *client) left() (left bool) {
+// left says that the client has closed its connection, or that it is broken, or closed on our side by now.
+func (c *client) left() bool {
+	left := true
 	c.control(func(fd int) { left = hungUp(fd) })
 	return left
 }
 
+// lost is left for a client whose request has been read whole. What it has sent behind that stays where it is, and once the
+// kernel takes no more its end cannot be seen.
+func (c *client) lost() bool {
+	lost := true
+	c.control(func(fd int) { lost = hungUp(fd) || c.unseen(fd) })
+	return lost
+}
+
+// unseen says that so much has stood behind the request for so long that the client's end may stand behind it.
+func (c *client) unseen(fd int) bool {
+	unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+	room, wrong := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil || wrong != nil || unread < room/2: // the kernel counts its own overhead as well: it takes less than the room
+		c.fullFrom = time.Time{}
+	case c.fullFrom.IsZero():
+		c.fullFrom = time.Now()
+	default:
+		return time.Since(c.fullFrom) >= unseenFor
+	}
+	return false
+}
+
 // awaitEnd is net/http's read in the background, without the byte: that stays where it is until its request is read. It
 // returns when the client has left, or with the read deadline that ends the waiting.
 func (c *client) awaitEnd() (int, error) {
 	raw, err := c.TCPConn.SyscallConn()
 	if err == nil {
-		err = raw.Read(func(fd uintptr) bool { return hungUp(int(fd)) })
+		err = raw.Read(func(fd uintptr) bool {
+			c.unseen(int(fd)) // from when on it is full
+			return hungUp(int(fd))
+		})
 	}
 	if err == nil {
 		err = io.EOF
@@ -51,12 +85,14 @@
 	return err == nil && n == 1 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// staying reads a body of a stated length, or one in chunks, for an app node, as long as the client stays: the last piece
-// of it is not passed on for one that has left. Its end may have stood behind more than the kernel takes at a time.
+// staying reads a body of a stated length, or one in chunks, for an app node, as long as the client stays: neither the first
+// piece, with which an attempt begins, nor the last is passed on for one that has left. Its end may have stood behind more than
+// the kernel takes at a time.
 type staying struct {
 	io.Reader
 	client *client
 	left   int64 // to come; below 0: that is not known
+	begun  bool
 }
 
 var errLeft = errors.New("the client has left behind its body")
@@ -64,8 +100,9 @@
 func (s *staying) Read(p []byte) (int, error) {
 	n, err := s.Reader.Read(p)
 	s.left -= int64(n)
-	if (s.left == 0 || err == io.EOF) && s.client.left() {
+	if (!s.begun || s.left == 0 || err == io.EOF) && s.client.left() {
 		return 0, errLeft
 	}
+	s.begun = true
 	return n, err
 }
--- a/internal/acceptor/leaving_test.go
+++ b/internal/acceptor/leaving_test.go
@@ -196,3 +196,146 @@
 		}
 	}
 }
+
+// Whoever is about to write a call learns that its client has left also when the connection is closed on our side by then:
+// the word of the leaving may still stand in the reducer's queue.
+func TestALeaverIsKnownBehindTheEndOfItsConnection(t *testing.T) {
+	for how, end := range ends {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan struct{}, 1)
+			f := newFrontWith(t, 10, 0, func(a *Acceptor) {
+				changed := a.server.ConnState
+				a.server.ConnState = func(nc net.Conn, s http.ConnState) {
+					changed(nc, s)
+					if s == http.StateClosed {
+						ended <- struct{}{}
+					}
+				}
+			})
+			c := f.dial().send(lookup, "")
+			call := f.heard().(reducer.Arrived).Call
+			end(c)
+			f.heardLeave(call)
+			select {
+			case <-ended:
+			case <-time.After(20 * time.Second):
+				t.Fatal("the connection goes on")
+			}
+			if !sent(call).Left() {
+				t.Error("the client is taken to be there")
+			}
+		})
+	}
+}
+
+// A client that has sent more behind its request than the kernel takes may have closed behind it, which nobody can see. Its
+// call is not sent on once that has lasted, and ends with a word; one that has sent less is there, however long it waits.
+func TestAClientLeavesBehindMoreThanTheKernelTakes(t *testing.T) {
+	for _, size := range []int{150, 1 << 20} {
+		t.Run(fmt.Sprintf("in pieces of %d", size), func(t *testing.T) {
+			t.Parallel()
+			f := newFront(t, 10)
+			c := f.dial().send(lookup, "")
+			call := f.heard().(reducer.Arrived).Call
+			go func() {
+				for range 4 << 20 / size {
+					if _, err := c.Write(make([]byte, size)); err != nil {
+						return
+					}
+				}
+				c.Conn.Close()
+			}()
+			for until := time.Now().Add(5 * time.Second); !sent(call).Left(); time.Sleep(time.Millisecond) {
+				if time.Now().After(until) {
+					t.Fatal("the client is taken to be there")
+				}
+			}
+			f.heardLeave(call)
+		})
+	}
+	t.Run("less", func(t *testing.T) {
+		t.Parallel()
+		f := newFront(t, 10)
+		c := f.dial().send(lookup, strings.Repeat("x", 40_000))
+		call := f.heard().(reducer.Arrived).Call
+		for until := time.Now().Add(4 * unseenFor); time.Now().Before(until); time.Sleep(time.Millisecond) {
+			if sent(call).Left() {
+				t.Fatal("the client is taken to have left")
+			}
+		}
+		f.Answer(call.ID, served("there"))
+		if _, body := c.answer(); body != "there" {
+			t.Errorf("%q", body)
+		}
+	})
+}
+
+// An upload that waits is not read, so that its client's leaving is looked for: well within the 0.1 s after which no attempt
+// may begin, nor one that is half sent go on. The client leaves just behind a look, which is the worst moment; of a few
+// tries the shortest counts, since the machine may be busy.
+func TestTheLeavingOfAnUploadIsSeenSoon(t *testing.T) {
+	const bound, tries = 60 * time.Millisecond, 5
+	for how, end := range ends {
+		shortest := time.Hour
+		for range tries {
+			f := newFrontTaking(t, 10, 1<<20)
+			c := f.dial().send("POST"+lookup[3:]+"Content-Length: 300000\n", "x")
+			call := f.heard().(reducer.Arrived).Call
+			end(c)
+			left := time.Now()
+			f.heardLeave(call)
+			shortest = min(shortest, time.Since(left))
+		}
+		if shortest > bound {
+			t.Errorf("%s: seen after %v at best", how, shortest)
+		}
+	}
+}
+
+// late is a client's body that is read only once the client has left, as by a process that waits for its turn.
+type late struct {
+	t *testing.T
+	*client
+}
+
+func (l late) Read(p []byte) (int, error) {
+	for until := time.Now().Add(20 * time.Second); !l.left(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			l.t.Error("the client has not left")
+			break
+		}
+	}
+	return l.TCPConn.Read(p)
+}
+
+// An upload of which nothing has come yet when its attempt is to begin waits for its client inside the attempt. What comes
+// then from a client that has left is not passed on: the attempt would begin with it.
+func TestNothingOfAnUploadBeginsForAClientThatHasLeft(t *testing.T) {
+	for how, end := range ends {
+		t.Run(how, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			nc, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			far, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer far.Close()
+			io.WriteString(nc, strings.Repeat("x", 5000))
+			end(&caller{Conn: nc})
+			c := &client{TCPConn: far.(*net.TCPConn)}
+			body := &staying{Reader: late{t, c}, client: c, left: 300_000}
+			if n, err := body.Read(make([]byte, 10_000)); n > 0 || err == nil {
+				t.Errorf("%d bytes were read, %v", n, err)
+			}
+		})
+	}
+}
--- a/internal/acceptor/read.go
+++ b/internal/acceptor/read.go
@@ -70,7 +70,7 @@
 	}
 	control := http.NewResponseController(w)
 	upload := func(body io.Reader) *message.Call {
-		body = &staying{body, r.Context().Value(clientKey{}).(*client), r.ContentLength}
+		body = &staying{Reader: body, client: r.Context().Value(clientKey{}).(*client), left: r.ContentLength}
 		return &message.Call{Upload: flow.NewUpload(body, r.ContentLength, most, min(a.bounds.ClientIdle, uploadPatience), time.Now,
 			func(t time.Time) { control.SetReadDeadline(t) }, func(last time.Time) {
 				a.post(reducer.Uploaded{Call: call, Last: a.now() - time.Since(last)})
