Test leaving clients at further attempts, behind much and within 0.1 s

The matrix of waits gets two for a further attempt (its connection, and that of a process that stands still): 63 ways and 3 uploads instead of 45 and 3.

--- a/cmd/pewterrudder/leaving_test.go
+++ b/cmd/pewterrudder/leaving_test.go
@@ -70,8 +70,9 @@
 	addr   string
 	filler net.Conn
 
-	mu  sync.Mutex
-	ids []string // of the requests that came, as they began
+	mu   sync.Mutex
+	came int      // connections
+	ids  []string // of the requests that came, as they began
 }
 
 func newDoor(t *testing.T) *door {
@@ -123,6 +124,9 @@
 			if err != nil {
 				return
 			}
+			d.mu.Lock()
+			d.came++
+			d.mu.Unlock()
 			go func() {
 				defer nc.Close()
 				for br := bufio.NewReader(nc); ; {
@@ -141,17 +145,13 @@
 	}()
 }
 
-// let waits until the balancer's connection has come up, on its side.
+// let waits until the balancer's connection has come up. It may end at once, where the call that it was made for is over.
 func (d *door) let() {
 	d.t.Helper()
 	until(d.t, "the connection has come up", func() bool {
-		n := 0
-		for _, l := range links("", d.addr) {
-			if l.state == established {
-				n++
-			}
-		}
-		return n > 1 // the filler is one
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.came > 1 // the filler is one
 	})
 }
 
@@ -282,6 +282,15 @@
 		l.ask("gone", "bulk", "", body)
 		return l, goOn, l.asked
 	},
+	"for the connection of a further attempt": func(t *testing.T, body string) (*leaver, func(), func(string) bool) {
+		l, d := further(t, body)
+		return l, func() { d.open(); d.let() }, func(id string) bool { return l.furtherSent(d, id) }
+	},
+	"for the connection of a further attempt of a process that stands still": func(t *testing.T, body string) (*leaver, func(), func(string) bool) {
+		l, d := further(t, body)
+		goOn := l.stop()
+		return l, func() { d.open(); d.let(); goOn() }, func(id string) bool { return l.furtherSent(d, id) }
+	},
 	"behind a copy": func(t *testing.T, body string) (*leaver, func(), func(string) bool) {
 		l := &leaver{stand: newStand(t, nil)}
 		on, first := make(chan struct{}), make(chan struct{})
@@ -323,6 +332,49 @@
 	},
 }
 
+// further brings a call to where its first attempt has failed, at the stand's own app node, and the next waits for a connection.
+func further(t *testing.T, body string) (*leaver, *door) {
+	t.Helper()
+	d := newDoor(t)
+	l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes, setup.Attempts = append(setup.Nodes, d.addr), 2 })}
+	for n := 0; ; n++ { // until one goes to the stand's own first, and has the budget for another; others wait at the door for good
+		id, failed := "gone-"+strconv.Itoa(n), make(chan struct{})
+		l.play(id, func(x *flowrig.Exchange) {
+			close(failed)
+			x.Say("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+		})
+		knocks := len(links("", d.addr))
+		l.ask(id, "bulk", "", body)
+		own, knocked, answered := false, false, false
+		until(t, "the call waits at the door, or is answered", func() bool {
+			knocked = len(links("", d.addr)) > knocks
+			l.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+			k, _ := l.nc.Read(make([]byte, 1<<10))
+			answered = k > 0
+			return knocked || answered
+		})
+		select {
+		case <-failed:
+			own = true
+		default:
+		}
+		if own && knocked {
+			return l, d
+		}
+		if n > 60 {
+			t.Fatal("no call goes to the stand's own app node first, and then to the door")
+		}
+	}
+}
+
+// furtherSent says whether an app node was asked for a call once more; "gone" is the one that further has brought there.
+func (l *leaver) furtherSent(d *door, id string) bool {
+	if id == "gone" {
+		return d.got(l.id)
+	}
+	return d.got(id) || l.asked(id)
+}
+
 const next = "GET /bulk/next HTTP/1.1\r\nHost: x\r\nX-Request-Id: next\r\nX-Class: bulk\r\nX-Deadline: 60000m\r\n\r\n"
 
 // What stands behind the request of a client that leaves, and how it ends its connection.
@@ -405,3 +457,86 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// pours sends until the kernel has taken nothing for a while.
+func pours(nc net.Conn) {
+	for n := 1; n > 0; {
+		nc.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		n, _ = nc.Write(make([]byte, 1<<20))
+	}
+}
+
+// A client that has sent more than the kernel takes and closes is not seen to leave. Its call begins no attempt once that has
+// lasted for 0.1 s, the first no more than a further one.
+func TestNothingIsSentOnForAClientThatLeavesBehindMuch(t *testing.T) {
+	t.Parallel()
+	for _, waiting := range []string{"for a connection", "for the connection of a further attempt"} {
+		for _, how := range []string{"closes", "half closes"} { // a reset is seen at once
+			t.Run(how+" while it waits "+waiting, func(t *testing.T) {
+				t.Parallel()
+				l, goOn, sent := waits[waiting](t, "")
+				pours(l.nc)
+				left := time.Now()
+				ends[how](l.nc)
+				until(t, "0.1 s have passed", func() bool { return time.Since(left) > 100*time.Millisecond })
+				goOn()
+				l.passes()
+				if sent("gone") {
+					t.Error("it was sent on")
+				}
+			})
+		}
+	}
+}
+
+// An attempt that is out when its client leaves ends within the 0.1 s, in whichever part of its call that is: what is still on
+// the way to the app node begins nothing later. Of a few tries the shortest counts, since the machine may be busy.
+func TestAnAttemptThatIsOutEndsSoonAfterItsClientHasLeft(t *testing.T) {
+	t.Parallel()
+	const bound, tries = 100 * time.Millisecond, 5
+	const upload = "Content-Length: 300000\r\n"
+	for what, call := range map[string]struct {
+		more, body string
+		reads      bool // the app node takes the body
+	}{
+		"its answer is waited for":                       {},
+		"its answer is waited for, bytes behind":         {body: next[:20]},
+		"its body is half sent":                          {upload, strings.Repeat("x", 10_000), true},
+		"its body is whole":                              {upload, strings.Repeat("x", 300_000), true},
+		"its body is whole, bytes behind":                {upload, strings.Repeat("x", 300_000) + next[:20], true},
+		"its body waits for an app node that takes none": {"Content-Length: 30000000\r\n", strings.Repeat("x", 10_000), false},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			l := &leaver{stand: newStand(t, withUploads)}
+			for how, end := range ends {
+				shortest := time.Hour
+				for n := range tries {
+					id := strings.ReplaceAll(how, " ", "-") + strconv.Itoa(n)
+					there, gone := make(chan struct{}), make(chan time.Time, 1)
+					l.play(id, func(x *flowrig.Exchange) {
+						if call.reads {
+							io.CopyN(io.Discard, x.Request.Body, int64(min(len(call.body), 300_000)))
+						}
+						close(there)
+						gone <- <-x.Gone()
+					})
+					l.ask(id, "bulk", call.more, "")
+					io.WriteString(l.nc, call.body)
+					happens(t, "the attempt is out", there)
+					left := time.Now()
+					end(l.nc)
+					select {
+					case at := <-gone:
+						shortest = min(shortest, at.Sub(left))
+					case <-time.After(longAgo):
+						t.Fatal("the attempt goes on")
+					}
+				}
+				if shortest > bound {
+					t.Errorf("ended %v after its client left, at best (%s)", shortest, how)
+				}
+			}
+		})
+	}
+}
