Let thousands of pools come, change and go one by one in the reducer

Seen: pools ended at 64, since an app node's pools were the bits of one word, found by comparing its entry with each pool through an opaque function; every slice of a list told every pool, 550 calls of the module for one changed entry; and a pool could only change with a whole layout.

Change: PoolSpec carries a selector of plain values (internal/selector, the comparison moved there from internal/config) in place of a function. An index enters each selector under its key with the emptiest places, so that an entry is compared with few. An app node holds the places of its pools as a sorted set, shared by neighbours. Each event tells the pools that it touches, and the one whose module asks for the list: an empty update moves nothing in a module that doesn't ask, and UpdateAskFailed returns at once there. Regions and subsets are looked at where they were touched. Up to 4,096 pools.

Adjusted brings, changes and takes pools one by one, by IDs that the routes answer. What is new takes up its app nodes first, in slices, then the routes change, then what goes loses its own; many changes that wait share one walk. A place is given again once no call and no app node knows the pool.

Fault met on the way: where the first pool went, no module asked for the list any more, and a watch that broke was never opened again. Now another pool's asks (TestAnotherPoolAsksForTheList, seen failing without it).

Tests: pools that come and go in random histories against a plain map, the index against a look at each, the make-room order, who is told. Each was seen failing with its part of the change taken out. Changed: the limit's text in internal/config (65 of 64 is 4097 of 4096), and tests that set Takes set a selector, with the same members expected.

--- a/cmd/pewterrudder/layout.go
+++ b/cmd/pewterrudder/layout.go
@@ -28,7 +28,7 @@
 	pools := s.PoolsInForce()
 	for i := range pools {
 		p := &pools[i]
-		l.Pools = append(l.Pools, reducer.PoolSpec{Name: p.Name, Takes: p.Takes, MaxOpen: p.MaxOpen, Zones: zoned})
+		l.Pools = append(l.Pools, reducer.PoolSpec{Name: p.Name, Selector: p.Members.Selector(), MaxOpen: p.MaxOpen, Zones: zoned})
 	}
 	if len(s.Routes) == 0 {
 		return l, nil
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"strings"
 
-	"pewterrudder/brain"
 	"pewterrudder/internal/routes"
+	"pewterrudder/internal/selector"
 )
 
 // Route sends the calls that it matches to a pool, or splits them. Keys that are left out match everything. Which of
@@ -49,8 +49,8 @@
 // onlyPool names the pool of an installation that has set none.
 const onlyPool = "all"
 
-// mostPools bounds what each app node's entry is compared with on every change of the list.
-const mostPools = 64
+// mostPools is what the reducer takes: some times what one site is planned to have.
+const mostPools = 4096
 
 // PoolsInForce are the pools in the order of their indices: those that are set, or one with every app node.
 func (s *Service) PoolsInForce() []Pool {
@@ -177,20 +177,5 @@
 	return nil
 }
 
-// Takes says whether an app node is a member.
-func (p *Pool) Takes(m *brain.Member) bool {
-	k := &p.Members
-	return fits(k.Zones, m.Zone) && fits(k.Kinds, m.Kind) && fits(k.IDs, m.Server) &&
-		(k.Cells == nil || slices.Contains(k.Cells, m.Cell))
-}
-
-func fits(patterns []string, name string) bool {
-	for _, p := range patterns {
-		head, tail, open := strings.Cut(p, "*")
-		around := len(name) >= len(head)+len(tail) && strings.HasPrefix(name, head) && strings.HasSuffix(name, tail)
-		if p == name || open && around {
-			return true
-		}
-	}
-	return patterns == nil
-}
+// Selector gives them the form in which app nodes are compared with them.
+func (m *Members) Selector() selector.Selector { return selector.Selector(*m) }
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -51,7 +51,7 @@
 	} {
 		var in []string
 		for i := range pools {
-			if pools[i].Takes(&m) {
+			if pools[i].Members.Selector().Matches(&m) {
 				in = append(in, pools[i].Name)
 			}
 		}
@@ -64,13 +64,13 @@
 func TestWithoutPoolsThereIsOneOfAll(t *testing.T) {
 	s := DefaultService()
 	pools := s.PoolsInForce()
-	if len(pools) != 1 || pools[0].Name != "all" || s.DefaultPool() != 0 || !pools[0].Takes(&brain.Member{}) {
+	if len(pools) != 1 || pools[0].Name != "all" || s.DefaultPool() != 0 || !pools[0].Members.Selector().Matches(&brain.Member{}) {
 		t.Errorf("%+v, default %d", pools, s.DefaultPool())
 	}
 	if err := s.read([]byte(`{"pools": [{"name": "a", "members": {"ids": ["ab*ba"]}}]}`)); err != nil || s.DefaultPool() != 0 {
 		t.Errorf("a pool that is alone is the default: %v", err)
 	}
-	if p := &s.Pools[0]; p.Takes(&brain.Member{Server: "aba"}) || !p.Takes(&brain.Member{Server: "abba"}) {
+	if p := s.Pools[0].Members.Selector(); p.Matches(&brain.Member{Server: "aba"}) || !p.Matches(&brain.Member{Server: "abba"}) {
 		t.Error("the letters on both sides of a * are not the same ones")
 	}
 	if err := s.read([]byte(`{"routes": [{"pool": "a"}, {"class": "x", "pool": "b"}], "pools": [{"name": "a"}, {"name": "b"}]}`)); err != nil || s.DefaultPool() != -1 {
@@ -108,7 +108,7 @@
 }
 
 func TestAFaultInRoutesOrPoolsIsNamed(t *testing.T) {
-	many := `{"pools": [{"name": "p"}` + strings.Repeat(`, {"name": "q"}`, 64) + `]}`
+	many := `{"pools": [{"name": "p"}` + strings.Repeat(`, {"name": "q"}`, 4096) + `]}`
 	for text, want := range map[string]string{
 		`{"routes": [{"path": "/a", "pool": "b"}]}`:                                                          `routes[0]: pool: there is none named "b"`,
 		`{"routes": [{"path": "/a", "pool": "all"}, {"host": "", "path": "/a", "pool": "all"}]}`:             `routes[1] can never match: routes[0] matches just the same`,
@@ -131,7 +131,7 @@
 		`{"pools": [{"name": "p", "members": {"kinds": ["a", "a"]}}]}`:                                       `members.kinds[1]: "a" is there twice`,
 		`{"pools": [{"name": "p", "members": {"kinds": []}}]}`:                                               `members.kinds: an empty list`,
 		`{"pools": [{"name": "p", "members": {"cells": []}}]}`:                                               `members.cells: an empty list`,
-		many: `pools: 65 are more than 64`,
+		many: `pools: 4097 are more than 4096`,
 	} {
 		s := DefaultService()
 		if err := s.read([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/lab/zonelab/pools.go
+++ b/internal/lab/zonelab/pools.go
@@ -10,6 +10,7 @@
 	"pewterrudder/internal/lab/world"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/routes"
+	"pewterrudder/internal/selector"
 )
 
 // PoolScenarios are those in which a pool goes wrong, and PoolPolicies what is compared there.
@@ -50,7 +51,7 @@
 	layout := func(brain.Settings) (reducer.Layout, error) {
 		l := reducer.Layout{Route: func(c *reducer.Call) int { return of(c.Message.(*world.Ask).Op) }}
 		for _, kind := range p.kinds {
-			l.Pools = append(l.Pools, reducer.PoolSpec{Name: kind, Takes: func(m *brain.Member) bool { return m.Kind == kind }})
+			l.Pools = append(l.Pools, reducer.PoolSpec{Name: kind, Selector: selector.Selector{Kinds: []string{kind}}})
 		}
 		return l, nil
 	}
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -172,9 +172,8 @@
 		delete(r.calls, c.ID)
 		delete(r.byBrain, c.brainID)
 		r.places[c.Class].open--
-		if c.pool.open--; c.pool.open == 0 && c.pool.retired {
-			r.retire()
-		}
+		c.pool.open--
+		r.free(c.pool)
 	}
 }
 
--- a/internal/reducer/delegations.go
+++ b/internal/reducer/delegations.go
@@ -15,7 +15,7 @@
 	d := &delegation{call: c, attempt: len(c.delegations), server: a.Server, srv: r.servers[a.Server], sent: r.now}
 	c.delegations = append(c.delegations, d)
 	c.out++
-	if c.over() || d.srv == nil || d.srv.pools&(1<<c.pool.index) == 0 || d.attempt >= r.cfg.MaxAttempts {
+	if c.over() || d.srv == nil || !slices.Contains(d.srv.pools, c.pool.index) || d.attempt >= r.cfg.MaxAttempts {
 		r.end(d, brain.NeverSent, nil)
 		return
 	}
--- a/internal/reducer/figures.go
+++ b/internal/reducer/figures.go
@@ -98,11 +98,8 @@
 
 // avoids says that no pool of a server sends it anything now: that is the view of their nodes.
 func (r *Reducer) avoids(s *server) bool {
-	for i, p := range r.pools {
-		if p == nil || s.pools&(1<<i) == 0 {
-			continue
-		}
-		if d, ok := p.node.(interface{ Avoids(string) bool }); !ok || !d.Avoids(s.id) {
+	for _, i := range s.pools {
+		if d, ok := r.pools[i].node.(interface{ Avoids(string) bool }); !ok || !d.Avoids(s.id) {
 			return false
 		}
 	}
--- a/internal/reducer/operator.go
+++ b/internal/reducer/operator.go
@@ -87,14 +87,7 @@
 			}
 		}
 	}
-	for _, p := range r.pools {
-		if p != nil && len(p.changes) > 0 {
-			told := p.changes
-			p.changes = nil
-			r.tell(p, &brain.FleetUpdate{Kind: brain.UpdateChanges, Members: told})
-			p.changes = told[:0]
-		}
-	}
+	r.tellChanged(nil, brain.UpdateChanges)
 }
 
 // recountAs enters an app node as it counts now.
@@ -142,14 +135,13 @@
 	n := NodeView{ID: s.id, Address: s.address, Zone: s.member.Zone, Kind: s.member.Kind, Told: s.told.State, Counts: s.member.State,
 		Drained: r.wishes[s.id].drained, Weight: s.member.Weight, Started: s.member.Started, Warmth: r.warmth(s.member.Started),
 		Out: len(s.conns) - len(s.idle), Idle: len(s.idle), LastAnswer: s.answered, LastFailure: s.failed}
-	for i, p := range r.pools {
-		if p != nil && s.pools&(1<<i) != 0 {
-			n.Pools = append(n.Pools, p.Name)
-			if d, ok := p.node.(interface {
-				Sight(string) brain.ServerSight
-			}); ok && !n.Sight.Known {
-				n.Sight = d.Sight(s.id)
-			}
+	for _, i := range s.pools {
+		p := r.pools[i]
+		n.Pools = append(n.Pools, p.Name)
+		if d, ok := p.node.(interface {
+			Sight(string) brain.ServerSight
+		}); ok && !n.Sight.Known {
+			n.Sight = d.Sight(s.id)
 		}
 	}
 	return n
--- a/internal/reducer/pools.go
+++ b/internal/reducer/pools.go
@@ -1,31 +1,35 @@
 package reducer
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 
 	"pewterrudder/brain"
+	"pewterrudder/internal/selector"
 	"pewterrudder/internal/zones"
 )
 
-// PoolsMost is how many pools there may be; each has a bit in a server's membership.
-const PoolsMost = 64
+// PoolsMost is how many pools there may be, with those that still have calls or app nodes: some times what one site is
+// planned to have, and each has a place, by which app nodes know it, of 16 bits.
+const PoolsMost = 4096
 
 // Layout is how the fleet is divided, and which calls go where. What it holds is asked from the goroutine that drives the
 // reducer alone, and must give the same answer to the same question.
 type Layout struct {
 	Pools []PoolSpec
-	// Route names the pool of a call by its place in Pools. nil: the first.
+	// Route names the pool of a call by its ID, which is its place in Pools until Adjusted says more. nil: the first.
 	Route func(*Call) int
 }
 
 // PoolSpec is one pool as it is wanted.
 type PoolSpec struct {
-	Name    string
-	Takes   func(*brain.Member) bool // whether an app node belongs to it; nil: each does
-	MaxOpen int                      // calls open at once, before further ones are refused; 0: as many as come
-	Zones   *zones.Settings          // nil: a zone is as good as another, but for the module's prices
+	Name     string
+	Selector selector.Selector // which app nodes belong to it
+	MaxOpen  int               // calls open at once, before further ones are refused; 0: as many as come
+	Zones    *zones.Settings   // nil: a zone is as good as another, but for the module's prices
 }
 
 // onePool is the layout of an installation that names none.
@@ -34,13 +38,16 @@
 // pool is a group of app nodes with a decider of its own.
 type pool struct {
 	PoolSpec
-	index   int
+	id      int // by which the routes know it
+	index   uint16
 	node    brain.Decider
 	region  *region        // nil: without zones
 	share   *share         // nil: all members are used
 	open    int            // calls
 	ready   int            // members
+	held    int            // app nodes that know it by its place
 	retired bool           // by a layout without it: no call comes any more
+	untold  bool           // its region has not heard of all that the list under way brought
 	changes []brain.Member // to tell, of the slice under way
 }
 
@@ -50,128 +57,175 @@
 	if len(l.Pools) == 0 {
 		return errors.New("a layout needs a pool")
 	}
-	byName := map[string]*pool{}
-	for _, p := range r.pools {
-		if p != nil && !p.retired {
-			byName[p.Name] = p
-		}
-	}
 	wanted := map[string]bool{}
-	next := make([]*pool, len(l.Pools))
-	used := 0
-	for _, p := range r.pools {
-		if p != nil {
-			used++
-		}
-	}
-	for i, spec := range l.Pools {
+	used := r.poolsUsed()
+	for _, spec := range l.Pools {
 		switch {
 		case wanted[spec.Name]:
 			return fmt.Errorf("two pools of the name %q", spec.Name)
-		case byName[spec.Name] == nil:
+		case r.byName[spec.Name] == nil:
 			used++
 		}
 		wanted[spec.Name] = true
-		next[i] = byName[spec.Name]
 	}
 	regions := make([]*region, len(l.Pools))
-	for i, spec := range l.Pools {
-		if spec.Zones == nil {
-			continue
-		}
-		if r.subsetSize > 0 {
-			return fmt.Errorf("pool %q: zones with bounds do not go together with subsets", spec.Name)
-		}
-		for at, zone := range spec.Zones.Zones {
-			if r.zoneBit(zone) != 1<<at {
-				return fmt.Errorf("pool %q: the zones differ from those of the start", spec.Name)
-			}
-		}
-		if next[i] != nil && next[i].Zones != nil && reflect.DeepEqual(next[i].Zones, spec.Zones) {
-			regions[i] = next[i].region // with what it has learned
-			continue
-		}
+	for i := range l.Pools {
 		var err error
-		if regions[i], err = newRegion(*spec.Zones); err != nil {
-			return fmt.Errorf("pool %q: %w", spec.Name, err)
+		if regions[i], err = r.regionOf(&l.Pools[i], r.byName[l.Pools[i].Name]); err != nil {
+			return err
 		}
 	}
 	if used > PoolsMost {
 		return fmt.Errorf("%d pools, with those that still have calls, of %d", used, PoolsMost)
 	}
+	r.overtake()
+	next, anew := make([]*pool, len(l.Pools)), false
 	for i, spec := range l.Pools {
-		if next[i] == nil {
-			next[i] = r.addPool(spec)
-			if r.retuned {
-				r.retunePool(next[i])
-			}
-		}
-		next[i].PoolSpec = spec
-		r.zoned = r.zoned || regions[i] != nil
-		if p := next[i]; p.region != regions[i] {
-			if p.region = regions[i]; p.region != nil {
-				r.recount(p)
-			}
+		p := r.byName[spec.Name]
+		if p == nil {
+			p = r.addPool(spec)
 		}
+		r.respecify(p, spec)
+		p.id, next[i] = i, p
+		anew = r.divide(p, regions[i]) || anew
 	}
-	for name, p := range byName {
-		p.retired = !wanted[name]
+	if anew {
+		r.recount()
 	}
 	r.route, r.targets = l.Route, next
+	r.asked = map[int]*pool{}
+	for _, p := range next {
+		r.asked[p.id] = p
+	}
+	for _, p := range r.pools {
+		if p != nil && !p.retired && r.asked[p.id] != p {
+			r.retire(p)
+		}
+	}
+	r.chooseAsker()
 	return nil
 }
 
-func (r *Reducer) addPool(spec PoolSpec) *pool {
-	p := &pool{PoolSpec: spec, node: r.decide(spec.Name), share: r.newShare()}
-	for i := range r.pools {
-		if r.pools[i] == nil {
-			p.index = i
-			r.pools[i] = p
-			return p
+func (r *Reducer) poolsUsed() (n int) { return len(r.pools) - len(r.freed) }
+
+// regionOf is what a pool of a specification has in its zones: what it had, with all that it has learned, where they are the
+// same.
+func (r *Reducer) regionOf(spec *PoolSpec, had *pool) (*region, error) {
+	if spec.Zones == nil {
+		return nil, nil
+	}
+	if r.subsetSize > 0 {
+		return nil, fmt.Errorf("pool %q: zones with bounds do not go together with subsets", spec.Name)
+	}
+	for at, zone := range spec.Zones.Zones {
+		if r.zoneBit(zone) != 1<<at {
+			return nil, fmt.Errorf("pool %q: the zones differ from those of the start", spec.Name)
 		}
 	}
-	p.index = len(r.pools)
-	r.pools = append(r.pools, p)
+	if had != nil && had.Zones != nil && reflect.DeepEqual(had.Zones, spec.Zones) {
+		return had.region, nil
+	}
+	g, err := newRegion(*spec.Zones)
+	if err != nil {
+		return nil, fmt.Errorf("pool %q: %w", spec.Name, err)
+	}
+	return g, nil
+}
+
+func (r *Reducer) addPool(spec PoolSpec) *pool {
+	p := &pool{PoolSpec: spec, node: r.decide(spec.Name)}
+	p.share = r.newShare(p)
+	if n := len(r.freed); n > 0 {
+		p.index = r.freed[n-1]
+		r.freed = r.freed[:n-1]
+	} else {
+		p.index = uint16(len(r.pools))
+		r.pools = append(r.pools, nil)
+	}
+	r.pools[p.index], r.byName[p.Name] = p, p
+	r.selectors.Put(p.index, spec.Selector)
+	if r.retuned {
+		r.retunePool(p)
+	}
 	return p
 }
 
-// recount fills the tallies of a region that is new to a pool with members.
-func (r *Reducer) recount(p *pool) {
+// respecify gives a pool another specification, of the same name. It says whether other app nodes may belong to it now.
+func (r *Reducer) respecify(p *pool, spec PoolSpec) (moved bool) {
+	if moved = !p.Selector.Equal(spec.Selector); moved {
+		r.selectors.Put(p.index, spec.Selector)
+	}
+	p.PoolSpec = spec
+	return moved
+}
+
+// divide gives a pool its region. It says whether that has to be filled with the members that the pool has.
+func (r *Reducer) divide(p *pool, g *region) (anew bool) {
+	if p.region == g {
+		return false
+	}
+	if p.region = g; g == nil {
+		return false
+	}
+	r.zoned, g.counted = true, p.held == 0 // then each member is counted as it comes
+	return !g.counted
+}
+
+// recount fills the tallies of regions that are new to pools with members.
+func (r *Reducer) recount() {
 	for _, s := range r.ordered {
-		if s.pools&(1<<p.index) != 0 {
-			r.count(p.region, s, &s.member, 1)
+		for _, i := range s.pools {
+			if g := r.pools[i].region; g != nil && !g.counted {
+				r.count(g, s, &s.member, 1)
+			}
+		}
+	}
+	for _, p := range r.pools {
+		if p != nil && p.region != nil {
+			p.region.counted = true
 		}
 	}
 }
 
-// mask is the set of pools that an app node belongs to.
-func (r *Reducer) mask(m *brain.Member) (set uint64) {
-	for i, p := range r.pools {
-		if p != nil && !p.retired && p.takes(m) {
-			set |= 1 << i
-		}
+// retire has no call come to a pool any more. It goes once it has none, and no app node knows it.
+func (r *Reducer) retire(p *pool) {
+	p.retired = true
+	r.selectors.Delete(p.index)
+	if r.byName[p.Name] == p {
+		delete(r.byName, p.Name)
+	}
+	r.free(p)
+}
+
+// free gives the place of a pool back that is wholly gone.
+func (r *Reducer) free(p *pool) {
+	if p.retired && p.open == 0 && p.held == 0 && r.pools[p.index] == p {
+		r.pools[p.index] = nil
+		r.freed = append(r.freed, p.index)
 	}
-	return set
 }
 
-// retire frees the places of pools that are gone and have no call any more. Those that have are looked at again when the
-// last of them ends.
-func (r *Reducer) retire() {
-	for i, p := range r.pools {
-		if p != nil && p.retired && p.open == 0 && !r.dealing() {
-			r.pools[i] = nil
-		}
+// chooseAsker has one pool's node ask for the list, which is the same for all: the first, until it goes.
+func (r *Reducer) chooseAsker() {
+	if r.asker != nil && !r.asker.retired {
+		return
+	}
+	first := r.asker == nil
+	if r.asker = r.targets[0]; first || !r.cfg.AskDiscovery {
+		return
+	}
+	r.retunePool(r.asker)
+	if !r.watching { // the one that went may have been about to ask
+		r.tell(r.asker, &brain.FleetUpdate{Kind: brain.UpdateAskFailed})
 	}
 }
 
-// dealing: the servers are being dealt to other pools, so that some still hold the bit of one that is gone.
-func (r *Reducer) dealing() bool {
-	for _, f := range r.feeds {
-		if f.deal {
-			return true
-		}
+// targetAt is where a pool of an ID stands among the targets, or would.
+func (r *Reducer) targetAt(id int) (at int, found bool) {
+	if id >= 0 && id < len(r.targets) && r.targets[id].id == id {
+		return id, true // none has gone yet
 	}
-	return false
+	return slices.BinarySearchFunc(r.targets, id, func(p *pool, id int) int { return cmp.Compare(p.id, id) })
 }
 
 // poolOf asks the routes, once for each call.
@@ -179,8 +233,8 @@
 	if r.route == nil {
 		return r.targets[0]
 	}
-	if i := r.route(c); i >= 0 && i < len(r.targets) {
-		return r.targets[i]
+	if at, ok := r.targetAt(r.route(c)); ok {
+		return r.targets[at]
 	}
 	return r.targets[0]
 }
--- a/internal/reducer/pools_test.go
+++ b/internal/reducer/pools_test.go
@@ -11,6 +11,7 @@
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/control"
+	"pewterrudder/internal/selector"
 
 	"pgregory.net/rapid"
 )
@@ -85,9 +86,7 @@
 	return w, views
 }
 
-func inZone(zone string) func(*brain.Member) bool {
-	return func(m *brain.Member) bool { return m.Zone == zone }
-}
+func inZone(zone string) selector.Selector { return selector.Selector{Zones: []string{zone}} }
 
 // settle lets all that is due now happen.
 func (w *world) settle() { w.pass(0) }
@@ -102,9 +101,9 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		layouts := []Layout{
-			{Pools: []PoolSpec{{Name: "a", Takes: inZone("a")}, {Name: "b", Takes: inZone("b")}}},
-			{Pools: []PoolSpec{{Name: "b", Takes: inZone("b")}, {Name: "all"}}},
-			{Pools: []PoolSpec{{Name: "all"}, {Name: "none", Takes: inZone("nowhere")}}},
+			{Pools: []PoolSpec{{Name: "a", Selector: inZone("a")}, {Name: "b", Selector: inZone("b")}}},
+			{Pools: []PoolSpec{{Name: "b", Selector: inZone("b")}, {Name: "all"}}},
+			{Pools: []PoolSpec{{Name: "all"}, {Name: "none", Selector: inZone("nowhere")}}},
 		}
 		for i := range layouts {
 			layouts[i].Route = func(c *Call) int { return int(c.ID) % 2 }
@@ -142,7 +141,7 @@
 			},
 			"call": func(t *rapid.T) {
 				id := w.call(0, 600*ms)
-				if c := w.r.calls[id]; c != nil && len(c.delegations) == 1 && c.delegations[0].srv != nil && c.delegations[0].srv.pools&(1<<c.pool.index) == 0 {
+				if c := w.r.calls[id]; c != nil && len(c.delegations) == 1 && c.delegations[0].srv != nil && !slices.Contains(c.delegations[0].srv.pools, c.pool.index) {
 					t.Fatalf("a call of pool %s went to %s", c.pool.Name, c.delegations[0].server)
 				}
 			},
@@ -168,7 +167,7 @@
 				if c := wishes[name]; c.Weight > 0 {
 					m.Weight = c.Weight
 				}
-				if p.Takes == nil || p.Takes(&m) {
+				if p.Selector.Matches(&m) {
 					want[name] = m
 				}
 			}
@@ -198,7 +197,7 @@
 // A route moves to another pool with calls in flight: they end where they began, and the pool that nobody wants any more
 // goes with its last call.
 func TestARouteMovesWithCallsInFlight(t *testing.T) {
-	two := Layout{Pools: []PoolSpec{{Name: "old", Takes: inZone("a")}, {Name: "new", Takes: inZone("b")}}}
+	two := Layout{Pools: []PoolSpec{{Name: "old", Selector: inZone("a")}, {Name: "new", Selector: inZone("b")}}}
 	w, views := yard(t, two)
 	w.listed(List{Complete: true, Revision: 1, Addresses: []string{"a:1", "b:1"},
 		Members: []brain.Member{{Server: "sa", Zone: "a", Weight: 1}, {Server: "sb", Zone: "b", Weight: 1}}})
@@ -227,7 +226,7 @@
 
 // A pool that loses its last member refuses its own calls and takes nothing from the other, until one comes back.
 func TestAPoolLosesItsLastMember(t *testing.T) {
-	w, _ := yard(t, Layout{Pools: []PoolSpec{{Name: "a", Takes: inZone("a")}, {Name: "b", Takes: inZone("b")}},
+	w, _ := yard(t, Layout{Pools: []PoolSpec{{Name: "a", Selector: inZone("a")}, {Name: "b", Selector: inZone("b")}},
 		Route: func(c *Call) int { return c.Class }})
 	member := func(state brain.Readiness) List {
 		return List{Revision: 2, Addresses: []string{"a:1"}, Members: []brain.Member{{Server: "sa", Zone: "a", Weight: 1, State: state}}}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -12,7 +12,8 @@
 //
 // What calls and answers look like on a wire is not known here: they pass as Message, which is never looked at.
 // calls.go, delegations.go, connections.go, servers.go, pools.go and words.go hold one kind of state each. The work for an event does
-// not grow with the fleet, nor with the calls that are open: a list is worked through in slices, an event for each.
+// not grow with the fleet, nor with the pools or the calls that are open: a list is worked through in slices, an event for each, and
+// tells the pools that it touches.
 package reducer
 
 import (
@@ -25,6 +26,7 @@
 	"pewterrudder/internal/fleet/view"
 	"pewterrudder/internal/patience"
 	"pewterrudder/internal/roster"
+	"pewterrudder/internal/selector"
 )
 
 // Tunables.
@@ -301,7 +303,8 @@
 	answered    time.Duration
 	failed      time.Duration
 	leftAt      time.Duration // when it was last heard to be in service no more
-	pools       uint64        // that it belongs to
+	takes       []uint16      // the pools that ask for it, by their places, in rising order; many servers may share these
+	pools       []uint16      // those of them that use it
 	seen        uint64        // the latest list that named it
 	at          int           // in Reducer.ordered
 	gone        bool          // off the list and out of the state: only what is still out refers to it
@@ -349,9 +352,19 @@
 	acts    []brain.Action
 	pending []word // for the nodes, from the actions just carried out
 
-	pools   []*pool // by their bits; nil: free
-	targets []*pool // of the routes
-	route   func(*Call) int
+	pools     []*pool // by their places; nil: free
+	freed     []uint16
+	selectors selector.Index
+	byName    map[string]*pool // those that are wanted
+	asked     map[int]*pool    // the same by ID, once all that is under way is in force
+	targets   []*pool          // of the routes, by rising IDs
+	route     func(*Call) int
+	asker     *pool       // whose node asks for the list
+	changed   []*pool     // that have changes to be told
+	untold    []*pool     // whose regions have not heard of all
+	turned    []*share    // subsets that may have moved
+	found     [2][]uint16 // scratch of belongs
+	latest    []uint16    // the set of places that was made last
 
 	view       *view.View // of the other balancers; nil: the settings tell their number
 	listSaid   int        // the size of our list as the others were told it
@@ -457,7 +470,7 @@
 	r := &Reducer{cfg: cfg, decide: decide, budget: budget, whole: budget, calls: map[uint64]*call{}, byBrain: map[string]*call{},
 		byClient: map[string]*call{}, used: [2]map[string]struct{}{{}, {}},
 		servers: map[string]*server{}, conns: map[uint64]*conn{}, byAddress: map[string][]*server{}, zoneBits: map[string]uint64{},
-		wishes: map[string]wish{}, caps: map[string]int{}, tallies: map[string]*ended{}}
+		byName: map[string]*pool{}, asked: map[int]*pool{}, wishes: map[string]wish{}, caps: map[string]int{}, tallies: map[string]*ended{}}
 	if err := r.lay(l); err != nil {
 		return nil, err
 	}
@@ -524,6 +537,8 @@
 				r.enqueue(&feed{deal: true})
 			}
 		}
+	case Adjusted:
+		r.onAdjusted(&e)
 	case Arrived:
 		r.onArrived(e.Call)
 	case ClientGone:
@@ -568,11 +583,7 @@
 		r.emit(Log{"registry: watch ended: " + e.Err.Error()})
 		r.onSourceBroke(r.discoverySource, e.Err)
 		if r.cfg.AskDiscovery {
-			for _, p := range r.pools {
-				if p != nil {
-					r.tell(p, &brain.FleetUpdate{Kind: brain.UpdateAskFailed})
-				}
-			}
+			r.tell(r.asker, &brain.FleetUpdate{Kind: brain.UpdateAskFailed})
 		} else {
 			r.emit(Arm{r.watchPause(), rewatch{}})
 		}
--- a/internal/reducer/retune.go
+++ b/internal/reducer/retune.go
@@ -85,7 +85,7 @@
 // retunePool tells the node of a pool. Only the first asks for the list.
 func (r *Reducer) retunePool(p *pool) {
 	own := r.cfg
-	own.AskDiscovery = own.AskDiscovery && p.index == 0
+	own.AskDiscovery = own.AskDiscovery && p == r.asker
 	if p.share != nil && p.share.Balancers() > 1 {
 		own.Nodes = p.share.Sharing(own.Nodes)
 		own.Sample, _ = p.share.Count() // all of them: one that its balancers left out would be nobody's
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -29,13 +29,14 @@
 
 // feed is work on the fleet that is under way: a list being entered, or the pools being dealt anew.
 type feed struct {
-	list  List
-	kind  brain.UpdateKind
-	deal  bool   // no list: only the pools have changed
-	epoch uint64 // of the servers that the list names
-	next  int    // entry
-	left  int    // servers still to be looked at, once all entries are in; they are taken from the end
-	walks bool   // that has begun
+	list   List
+	kind   brain.UpdateKind
+	deal   bool        // no list: only the pools have changed
+	adjust *adjustment // what follows, if it is one
+	epoch  uint64      // of the servers that the list names
+	next   int         // entry
+	left   int         // servers still to be looked at, once all entries are in; they are taken from the end
+	walks  bool        // that has begun
 
 	said     bool // by a source of the roster, which gives the changes that follow
 	source   int
@@ -62,8 +63,8 @@
 	}
 }
 
-// feedOn works through one slice. The pools hear of changes alone, and of an empty one if there are none: that
-// discovery has answered is news.
+// feedOn works through one slice. The pools hear of changes alone. The one that asks for the list hears also of an empty
+// one: that discovery has answered is news.
 func (r *Reducer) feedOn() {
 	f := r.feeds[0]
 	touched := r.touched[:0]
@@ -98,22 +99,16 @@
 	}
 	kind := f.kind
 	f.kind = brain.UpdateChanges // the rest of it
-	for _, p := range r.pools {
-		if p == nil || f.deal && len(p.changes) == 0 {
-			continue
-		}
-		if p.region != nil && over {
-			for zone := range p.region.tallies {
-				r.tellZone(p.region, zone)
-			}
-		}
-		changes := p.changes
-		p.changes = nil
-		r.tell(p, &brain.FleetUpdate{Kind: kind, Members: changes})
-		p.changes = changes[:0]
+	asker := r.asker
+	if f.deal || f.adjust != nil {
+		asker = nil // it was not discovery that spoke
+	}
+	if over {
+		r.tellRegions(asker)
 	}
-	if f.deal && over {
-		r.retire()
+	r.tellChanged(asker, kind)
+	if f.adjust != nil && over {
+		r.bringAbout(f.adjust)
 	}
 	// Without a server every call would only be held, so readiness waits for one.
 	if !r.readied && r.ready > 0 {
@@ -178,12 +173,7 @@
 		s := r.ordered[f.left] // one that is dropped gives its place to a later one, which has been looked at
 		switch {
 		case f.deal:
-			for _, p := range r.pools {
-				if p != nil {
-					p.enter(&s.member, r.sizeOf(&s.member))
-				}
-			}
-			if r.mask(&s.member) != s.pools {
+			if takes, uses := r.belongs(s); !slices.Equal(takes, s.takes) || !slices.Equal(uses, s.pools) {
 				r.note(s, s.member)
 				n -= 10 // that is more than a look
 			}
@@ -215,15 +205,12 @@
 
 // note has the pools hear of a server: those it belongs to now, and those it has left.
 func (r *Reducer) note(s *server, was brain.Member) {
-	before := s.pools
-	s.pools = 0
-	for _, p := range r.pools {
-		if p != nil {
-			p.enter(&s.member, r.sizeOf(&s.member))
-		}
-	}
-	if s.member.State != brain.Gone {
-		s.pools = r.mask(&s.member)
+	before, took := s.pools, s.takes
+	takes, uses := r.belongs(s)
+	s.takes = r.kept(took, takes)
+	s.pools = s.takes
+	if len(uses) < len(takes) {
+		s.pools = r.kept(before, uses)
 	}
 	if was.State == brain.Ready {
 		r.ready--
@@ -234,29 +221,44 @@
 	if s.member.State == brain.Ready {
 		r.ready++
 	}
-	for i, p := range r.pools {
-		if p == nil || (before|s.pools)&(1<<i) == 0 {
-			continue
-		}
-		if p.region != nil && before&(1<<i) != 0 {
-			r.count(p.region, s, &was, -1)
-		}
-		if p.region != nil && s.pools&(1<<i) != 0 {
-			r.count(p.region, s, &s.member, 1)
+	both(before, s.pools, func(i uint16, had, is bool) {
+		p := r.pools[i]
+		if p.region != nil {
+			if !p.untold {
+				p.untold, r.untold = true, append(r.untold, p)
+			}
+			if had {
+				r.count(p.region, s, &was, -1)
+			}
+			if is {
+				r.count(p.region, s, &s.member, 1)
+			}
 		}
-		if before&(1<<i) != 0 && was.State == brain.Ready {
+		if had && was.State == brain.Ready {
 			p.ready--
 		}
-		if s.pools&(1<<i) != 0 && s.member.State == brain.Ready {
+		if is && s.member.State == brain.Ready {
 			p.ready++
 		}
 		m := s.member
-		if s.pools&(1<<i) == 0 {
+		if !is {
 			m.State = brain.Gone
 		}
+		if len(p.changes) == 0 {
+			r.changed = append(r.changed, p)
+		}
 		p.changes = append(p.changes, m)
-	}
-	if r.subsetSize > 0 && before != 0 && s.pools == 0 && !s.gone {
+	})
+	both(took, s.takes, func(i uint16, was, is bool) {
+		switch p := r.pools[i]; {
+		case is && !was:
+			p.held++
+		case was && !is:
+			p.held--
+			r.free(p)
+		}
+	})
+	if r.subsetSize > 0 && len(before) > 0 && len(s.pools) == 0 && !s.gone {
 		r.doom(s) // what is open to it is let go, busy connections after their call
 	}
 }
--- a/internal/reducer/shares.go
+++ b/internal/reducer/shares.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -17,6 +18,8 @@
 	*subset.Set
 	turns uint64 // when the pool was dealt last
 	held  int    // that its module was told of
+	pool  *pool
+	moved bool // since it was looked at
 }
 
 // regroup is the next balancer to enter or leave the subsets: one an event.
@@ -35,36 +38,40 @@
 	r.subsetSize, r.sharing = size, map[string]bool{}
 	for _, p := range r.pools {
 		if p != nil {
-			p.share = r.newShare()
+			p.share = r.newShare(p)
 		}
 	}
 	return nil
 }
 
-func (r *Reducer) newShare() *share {
+func (r *Reducer) newShare(p *pool) *share {
 	if r.subsetSize == 0 {
 		return nil
 	}
-	s := &share{Set: subset.New(r.view.Own().Address, r.subsetSize)}
+	s := &share{pool: p, Set: subset.New(r.view.Own().Address, r.subsetSize)}
 	for at := range r.sharing {
 		s.Enter(at)
 	}
 	return s
 }
 
-// takes says whether a pool uses an app node; enter has its subset know of it first.
-func (p *pool) takes(m *brain.Member) bool {
-	return (p.Takes == nil || p.Takes(m)) && (p.share == nil || p.share.Holds(m.Server))
-}
-
-func (p *pool) enter(m *brain.Member, size float64) {
+// enter has the subset of a pool know of an app node that belongs to it, or does no more.
+func (r *Reducer) enter(p *pool, m *brain.Member, belongs bool) {
 	if p.share == nil {
 		return
 	}
-	if m.State == brain.Gone || p.retired || p.Takes != nil && !p.Takes(m) {
-		p.share.Remove(m.Server)
+	if belongs {
+		p.share.Put(m.Server, m.Zone, r.sizeOf(m))
 	} else {
-		p.share.Put(m.Server, m.Zone, size)
+		p.share.Remove(m.Server)
+	}
+	r.moved(p.share)
+}
+
+// moved has the next deal look at a subset.
+func (r *Reducer) moved(s *share) {
+	if !s.moved {
+		s.moved, r.turned = true, append(r.turned, s)
 	}
 }
 
@@ -116,8 +123,10 @@
 			case p == nil || p.share == nil:
 			case was:
 				p.share.Leave(at)
+				r.moved(p.share)
 			default:
 				p.share.Enter(at)
+				r.moved(p.share)
 			}
 		}
 		r.moving = n > 1
@@ -132,17 +141,18 @@
 // redeal has the app nodes dealt anew where subsets have turned, in slices.
 func (r *Reducer) redeal() {
 	turned := false
-	for _, p := range r.pools {
-		if p == nil || p.share == nil {
-			continue
-		}
-		held, _ := p.share.Count()
-		if moved := p.share.turns != p.share.Turns(); moved || p.share.held != held {
-			p.share.turns, p.share.held = p.share.Turns(), held
+	slices.SortFunc(r.turned, func(a, b *share) int { return cmp.Compare(a.pool.index, b.pool.index) })
+	for _, s := range r.turned {
+		s.moved = false
+		held, _ := s.Count()
+		if moved := s.turns != s.Turns(); moved || s.held != held {
+			s.turns, s.held = s.Turns(), held
 			turned = turned || moved
-			r.retunePool(p)
+			r.retunePool(s.pool)
 		}
 	}
+	clear(r.turned)
+	r.turned = r.turned[:0]
 	if turned {
 		r.enqueue(&feed{deal: true, kind: brain.UpdateChanges})
 		held, of := r.Share()
--- a/internal/reducer/zones.go
+++ b/internal/reducer/zones.go
@@ -31,6 +31,7 @@
 type region struct {
 	state   *zones.State
 	tallies []tally // by zone
+	counted bool    // they hold every member
 }
 
 func newRegion(cfg zones.Settings) (*region, error) {
