Count only tenants seen of late, and read the settings' list into the table

Seen: with 300,000 tenants every pool's node kept a float for each and faded all at each ranking, new settings matched names in O(n^2), the acceptor had a map of all names, and a configuration read again was decoded twice into trees of any.

The module: a request brings its tenant's number and quota; brain.Settings knows no tenants any more. One thing differs: a call under way keeps the quota it came with when settings change, where before its place in the old list was looked up in the new one.

The acceptor finds X-Tenant in internal/tenants, which allocates nothing. The simulator's adapter uses the same table; numbers follow the order of the list.

The configuration: settings.tenants is cut out of the text by where its brackets lie, read entry by entry, compared by the keys that all entries have, and entered into the table; its text is given up then. Entries that another teller entered with a revision are left alone. What is not written plainly (escapes, other cases of keys, keys twice) is left to encoding/json. A SIGHUP that changes tenants alone does not retune the module. A key twice merged two lists by place before, now the last counts. Faults of the tenants are found after the others.

Tests: the old formula replayed, forgetting, quotas below zero, new settings; 40,000 damaged lists against encoding/json, reloaded files against the plain comparison of keys, lists beside other tellers' entries, no text kept. Each was seen to fail with its cause broken. Changed: TestConstructorNamesTheField had a negative quota in the module's settings, which have none now; the settings' own check of it stays in config_test.go, and TestAQuotaBelowZeroBindsNobody holds the module. Random requests carry quotas in place of settings; the acceptor's test has a table, and now holds the quota of the call too.

--- a/brain/api.go
+++ b/brain/api.go
@@ -45,13 +45,6 @@
 	Stream   bool    // the answer is a stream; Begun events are sent
 }
 
-// Tenant is one of those who share the fleet. Quota is in requests per second over all nodes.
-type Tenant struct {
-	Name  string
-	Quota float64
-	Share float64
-}
-
 // ReportMode says where load reports are found.
 type ReportMode uint8
 
@@ -106,7 +99,6 @@
 	Sample  int // servers that are worked with at the least; 0: as the module likes
 	Zone    string
 	Classes []Class
-	Tenants []Tenant
 
 	OverQuotaWorth float64 // worth of a request past its tenant's quota, as a share
 	WorthByWork    bool    // worth is per unit of work rather than per request
@@ -156,11 +148,6 @@
 			return fmt.Errorf("brain: Classes[%d] is keyed and needs a Window above zero", i)
 		}
 	}
-	for i, t := range s.Tenants {
-		if t.Quota < 0 {
-			return fmt.Errorf("brain: Tenants[%d].Quota is negative", i)
-		}
-	}
 	return nil
 }
 
@@ -207,8 +194,9 @@
 // Request is a client's request; the node owes one final answer.
 type Request struct {
 	ID       string
-	Class    int // index into Settings.Classes
-	Tenant   int // index into Settings.Tenants, or -1
+	Class    int     // index into Settings.Classes
+	Tenant   int     // a number that stays with whoever asks, or -1; what is known of it is forgotten when it asks no more
+	Quota    float64 // of that tenant, in requests per second over all nodes; 0: without bound
 	Retry    bool
 	Key      string  // what the request is about; empty: not told
 	Work     float64 // expected work in ms on a standard core; 0: not told
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -69,6 +69,8 @@
 	reportBinds = 100 * time.Millisecond // times nodes that share a server: an older report refuses none
 	reportFresh = 500 * time.Millisecond // so young a report is believed against own answers since
 
+	tenantFades = 3.0 // seconds: over which a tenant's arrivals are counted
+
 	idleHeld = 2.0 // requests held per size up to which nobody waits: never too busy
 
 	probeSpend = 0.008                  // of the result that probes may cost; their price sets the number
@@ -147,7 +149,7 @@
 	out     []Action
 	started bool
 	classes []classState
-	tenants []float64 // decayed arrivals of each
+	tenants lately // arrivals of each
 	anySafe bool
 
 	byID     map[string]*server
@@ -200,8 +202,8 @@
 // tune puts settings in force and keeps what has been learned: of a class and of each server for it, by its
 // name, and by its place too for the requests under way. A place goes to another class once it has none.
 func (n *Node) tune(cfg Settings) {
-	old, tenants, known := n.classes, n.tenants, n.cfg.Tenants
-	n.cfg, n.classes, n.tenants, n.anySafe = cfg, nil, make([]float64, len(cfg.Tenants)), false
+	old := n.classes
+	n.cfg, n.classes, n.anySafe = cfg, nil, false
 	from := make([]int, len(cfg.Classes))
 	for i, c := range cfg.Classes {
 		named := func(k classState) bool { return k.Name == c.Name }
@@ -216,11 +218,6 @@
 		n.classes = append(n.classes, k)
 		n.anySafe = n.anySafe || c.Repeat == Safe && !c.Gone
 	}
-	for i, t := range cfg.Tenants {
-		if j := slices.IndexFunc(known, func(o Tenant) bool { return o.Name == t.Name }); j >= 0 {
-			n.tenants[i] = tenants[j]
-		}
-	}
 	for _, s := range n.byID {
 		by := make([]health, len(from))
 		for i, j := range from {
@@ -519,9 +516,6 @@
 			n.learnRoom(dt)
 		}
 		n.busyMean, n.rankedIn = n.busyMean+k*(float64(n.busy)-n.busyMean), n.arrived
-		for i := range n.tenants {
-			n.tenants[i] *= 1 - k
-		}
 		n.detect()
 		n.setLimits()
 	}
@@ -764,8 +758,8 @@
 		return
 	}
 	n.noteArrival()
-	if e.Tenant >= 0 && e.Tenant < len(n.tenants) {
-		n.tenants[e.Tenant]++
+	if e.Tenant >= 0 {
+		n.tenants.add(e.Tenant, n.rankedAt)
 	}
 	r := &request{Request: *e}
 	n.clock(r, e.Deadline)
@@ -1203,12 +1197,12 @@
 }
 
 // inShare weighs a request by the chance that its tenant is past its quota; a node sees 1/nodes of it.
-func (n *Node) inShare(tenant int) float64 {
-	if tenant < 0 || tenant >= len(n.tenants) || n.cfg.Tenants[tenant].Quota <= 0 {
+func (n *Node) inShare(r *request) float64 {
+	if r.Tenant < 0 || r.Quota <= 0 {
 		return 1
 	}
-	seen := n.tenants[tenant] / 3 * float64(n.cfg.Nodes)
-	over := max(0, 1-n.cfg.Tenants[tenant].Quota/max(seen, 1e-9))
+	seen := n.tenants.of(r.Tenant, n.rankedAt) / tenantFades * float64(n.cfg.Nodes)
+	over := max(0, 1-r.Quota/max(seen, 1e-9))
 	return 1 - over*(1-n.cfg.OverQuotaWorth)
 }
 
@@ -1262,7 +1256,7 @@
 	if age < reportFresh {
 		held = max(held, s.held) // own answers since, counted for other nodes too, cannot make it idle
 	}
-	if held <= idleHeld*s.size || n.expect(s.figure) <= c.limit*n.inShare(r.Tenant) {
+	if held <= idleHeld*s.size || n.expect(s.figure) <= c.limit*n.inShare(r) {
 		return true
 	}
 	n.crowded = true
--- a/brain/failures_test.go
+++ b/brain/failures_test.go
@@ -439,7 +439,6 @@
 		"Deadline":    func(s *Settings) { s.Classes[read].Deadline = 0 },
 		"MaxAttempts": func(s *Settings) { s.MaxAttempts = 0 },
 		"ColdFrom":    func(s *Settings) { s.Rules.ColdFrom = 2 },
-		"Quota":       func(s *Settings) { s.Tenants = []Tenant{{Quota: -1}} },
 	} {
 		cfg := testSettings()
 		spoil(&cfg)
--- a/brain/random_test.go
+++ b/brain/random_test.go
@@ -39,6 +39,7 @@
 type world struct {
 	t       *testing.T
 	cfg     Settings
+	quotas  []float64 // by tenant
 	rng     *rand.Rand
 	node    *Node
 	now     time.Duration
@@ -62,12 +63,12 @@
 	at     time.Duration
 }
 
-func newWorld(t *testing.T, cfg Settings, seed uint64) *world {
+func newWorld(t *testing.T, cfg Settings, quotas []float64, seed uint64) *world {
 	node, err := New(cfg, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, cfg: cfg, rng: rand.New(rand.NewPCG(seed, 99)), node: node, now: time.Hour, reqs: map[string]*asked{}}
+	w := &world{t: t, cfg: cfg, quotas: quotas, rng: rand.New(rand.NewPCG(seed, 99)), node: node, now: time.Hour, reqs: map[string]*asked{}}
 	for i := range 12 {
 		w.servers = append(w.servers, &listed{named: true, Member: Member{Server: fmt.Sprintf("s%d", i),
 			Zone: []string{"a", "b"}[i%2], Cell: i / 3, Kind: "k", Weight: 1 + float64(i%3)}})
@@ -237,8 +238,11 @@
 		r := &asked{class: w.cfg.Classes[class], deadline: w.now + time.Duration(100+w.rng.IntN(1900))*ms}
 		w.reqs[id] = r
 		w.order = append(w.order, id)
-		tenant := w.rng.IntN(len(w.cfg.Tenants)+1) - 1
-		w.hand(&Request{ID: id, Class: class, Tenant: tenant, Deadline: r.deadline, Work: w.rng.Float64() * 100})
+		tenant, quota := w.rng.IntN(len(w.quotas)+1)-1, 0.0
+		if tenant >= 0 {
+			quota = w.quotas[tenant]
+		}
+		w.hand(&Request{ID: id, Class: class, Tenant: tenant, Quota: quota, Deadline: r.deadline, Work: w.rng.Float64() * 100})
 	case x < 85:
 		if len(w.order) == 0 {
 			return
@@ -314,9 +318,9 @@
 	w.hand(&FleetUpdate{Kind: kind, Members: list})
 }
 
-func randomSettings(seed uint64) Settings {
+func randomSettings(seed uint64) (cfg Settings, quotas []float64) {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	cfg := testSettings()
+	cfg = testSettings()
 	cfg.Zone = "a"
 	cfg.Nodes = 1 + rng.IntN(50)
 	cfg.MaxAttempts = 1 + rng.IntN(5)
@@ -332,13 +336,14 @@
 	cfg.Prices = Prices{CrossZone: float64(rng.IntN(2)) * 0.02, Probe: 0.01, Connection: float64(rng.IntN(2)) * 0.05}
 	cfg.Classes[put].Scope = Scope(rng.IntN(3))
 	if rng.IntN(2) == 0 {
-		cfg.Tenants = []Tenant{{Name: "x", Quota: 10}, {Name: "y", Quota: 0}}
+		quotas = []float64{10, 0}
 	}
-	return cfg
+	return cfg, quotas
 }
 
 func play(t *testing.T, seed uint64, steps int) *world {
-	w := newWorld(t, randomSettings(seed), seed)
+	cfg, quotas := randomSettings(seed)
+	w := newWorld(t, cfg, quotas, seed)
 	for range steps {
 		w.step()
 	}
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -23,6 +23,7 @@
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/registry"
 	"pewterrudder/internal/registry/eureka"
+	"pewterrudder/internal/tenants"
 )
 
 const (
@@ -90,12 +91,16 @@
 	}
 	events := make(chan reducer.Event, backlog)
 	post := func(ev reducer.Event) { events <- ev }
-	classes, tenants := cfg.Settings.Names()
+	tenants := new(tenants.Table)
+	tenantRound := uint32(1)
+	if err := cfg.Tenants.Into(tenants, tenantRound); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	var deadlines []time.Duration
 	for _, c := range cfg.Brain.Classes {
 		deadlines = append(deadlines, c.Deadline)
 	}
-	front := acceptor.New(now, post, classes, tenants, deadlines, clientBudget, keptBudget,
+	front := acceptor.New(now, post, cfg.Settings.Names(), deadlines, tenants, clientBudget, keptBudget,
 		acceptor.Bounds{Upload: flows.MaxUploadBytes, ClientIdle: flows.ClientIdle()})
 	nodes := delegation.New(post, cfg.Settings.Stats.Columns, delegation.Bounds{Largest: flows.MaxAnswerBytes,
 		Room: flow.NewRoom(flows.Room(cfg.Limits)), Wait: flows.Wait()})
@@ -164,7 +169,6 @@
 				case reducer.Retuned:
 					next := e.Tag.(*config.Settings)
 					terms := acceptor.Terms{Classes: e.Places}
-					_, terms.Tenants = next.Names()
 					for i := range e.Classes {
 						terms.Deadlines = append(terms.Deadlines, e.Classes[i].Deadline)
 					}
@@ -257,6 +261,13 @@
 					cfg.Service.Peers.Keys = next.Service.Peers.Keys
 				}
 			}
+			if cfg.Tenants.Differ(&next.Tenants) {
+				tenantRound++
+				if err := next.Tenants.Into(tenants, tenantRound); err != nil { // it was found sound when it was read
+					log.Printf("reload: tenants: %v", err)
+				}
+				log.Printf("reload: %d tenants", tenants.Len())
+			}
 			cfg.Keep(next)
 			post(moved)
 			if retuned {
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -21,6 +21,7 @@
 
 	"pewterrudder/internal/message"
 	"pewterrudder/internal/reducer"
+	"pewterrudder/internal/tenants"
 )
 
 const (
@@ -50,11 +51,12 @@
 
 // Acceptor serves clients.
 type Acceptor struct {
-	now    func() time.Duration
-	post   func(reducer.Event)
-	terms  atomic.Pointer[Terms]
-	server *http.Server
-	conns  *clients
+	now     func() time.Duration
+	post    func(reducer.Event)
+	terms   atomic.Pointer[Terms]
+	tenants *tenants.Table // which others change
+	server  *http.Server
+	conns   *clients
 
 	ready, draining, away atomic.Bool
 	shared                atomic.Bool // another process serves at the same address
@@ -64,11 +66,11 @@
 	bounds                Bounds
 }
 
-// Terms are what a request may say of itself: classes and tenants by name with their places, and the classes' deadlines by
-// place, which no call outlasts.
+// Terms are what a request may say of itself: classes by name with their places, and the classes' deadlines by place, which
+// no call outlasts.
 type Terms struct {
-	Classes, Tenants map[string]int
-	Deadlines        []time.Duration
+	Classes   map[string]int
+	Deadlines []time.Duration
 }
 
 // Retune puts other terms in force for the requests that are read from now on.
@@ -82,11 +84,11 @@
 
 // New makes an acceptor that holds at most budget connections, kept of them between calls; no call of a class lasts
 // longer than its deadline.
-func New(now func() time.Duration, post func(reducer.Event), classes, tenants map[string]int,
-	deadlines []time.Duration, budget, kept int, bounds Bounds) *Acceptor {
-	a := &Acceptor{now: now, post: post, bounds: bounds,
+func New(now func() time.Duration, post func(reducer.Event), classes map[string]int,
+	deadlines []time.Duration, tenants *tenants.Table, budget, kept int, bounds Bounds) *Acceptor {
+	a := &Acceptor{now: now, post: post, tenants: tenants, bounds: bounds,
 		conns: newClients(budget, kept), waiting: map[uint64]chan reducer.Reply{}}
-	a.Retune(Terms{classes, tenants, deadlines})
+	a.Retune(Terms{classes, deadlines})
 	proxy := &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.RawQuery = p.In.URL.RawQuery // undo the clean-up: a call passes on as it is
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -14,6 +14,7 @@
 	"pewterrudder/internal/flow"
 	"pewterrudder/internal/message"
 	"pewterrudder/internal/reducer"
+	"pewterrudder/internal/tenants"
 )
 
 // front is an acceptor on a loopback socket, with the test in the reducer's place.
@@ -34,8 +35,7 @@
 func newFrontWith(t *testing.T, budget int, upload int64, change func(*Acceptor)) *front {
 	f := &front{t: t, events: make(chan reducer.Event, 100)}
 	f.Acceptor = New(func() time.Duration { return time.Hour }, func(e reducer.Event) { f.events <- e },
-		map[string]int{"lookup": 0, "booking": 1}, map[string]int{"acme": 0},
-		[]time.Duration{time.Second, time.Second}, budget, 6, Bounds{Upload: upload, ClientIdle: 2 * time.Second})
+		map[string]int{"lookup": 0, "booking": 1}, []time.Duration{time.Second, time.Second}, acme(), budget, 6, Bounds{Upload: upload, ClientIdle: 2 * time.Second})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -47,6 +47,13 @@
 	return f
 }
 
+// acme is a table with one tenant.
+func acme() *tenants.Table {
+	t := new(tenants.Table)
+	t.Put("acme", tenants.Terms{Quota: 12.5, Share: 1}, 0, 0)
+	return t
+}
+
 func sent(c *reducer.Call) *message.Call { return c.Message.(*message.Call) }
 
 // served is an app node's answer, held whole.
@@ -103,7 +110,7 @@
 	c.send(lookup, "")
 	call := (<-f.events).(reducer.Arrived).Call
 	if sent(call).Request.RequestURI != "/lookup/a%2Fb//c?q=1;2&key=k%20v&x=%zz" || call.Key != "k v" ||
-		call.Deadline != time.Hour+480*time.Millisecond || call.Class != 0 || call.Tenant != 0 {
+		call.Deadline != time.Hour+480*time.Millisecond || call.Class != 0 || call.Tenant != 0 || call.Quota != 12.5 {
 		t.Errorf("%+v %s", call, sent(call).Request.RequestURI)
 	}
 	f.Answer(call.ID, served("price\n", "X-Cache", "hit"))
@@ -114,7 +121,7 @@
 	c.send("POST /booking HTTP/1.1\nHost: x\nX-Request-Id: 2\nX-Class: booking\nX-Deadline: 900000u\n"+
 		"Idempotency-Key: 5c\nContent-Length: 4\n", "skip")
 	call = (<-f.events).(reducer.Arrived).Call
-	if string(sent(call).Body) != "skip" || call.Tenant != -1 || sent(call).Request.Header.Get("Idempotency-Key") != "5c" {
+	if string(sent(call).Body) != "skip" || call.Tenant != -1 || call.Quota != 0 || sent(call).Request.Header.Get("Idempotency-Key") != "5c" {
 		t.Errorf("%+v", call)
 	}
 	f.Answer(call.ID, reducer.Reply{Kind: reducer.Refused, After: 250 * time.Millisecond})
--- a/internal/acceptor/read.go
+++ b/internal/acceptor/read.go
@@ -38,9 +38,9 @@
 	if !ok {
 		return bad("X-Deadline is missing or malformed")
 	}
-	tenant, ok := terms.Tenants[r.Header.Get("X-Tenant")]
+	tenant, ok := a.tenants.Find(r.Header.Get("X-Tenant"))
 	if !ok {
-		tenant = -1
+		tenant.ID = -1
 	}
 	call := a.lastCall.Add(1)
 	out, err := a.body(w, r, call)
@@ -53,7 +53,7 @@
 		work, _ = duration(hint + "m") // a bare figure is in ms; one that makes no sense is none
 	}
 	out.Trailer = r.Trailer
-	return &reducer.Call{ID: call, ClientID: strings.Clone(id), Class: class, Tenant: tenant, Retry: r.Header.Get("X-Retry") == "1",
+	return &reducer.Call{ID: call, ClientID: strings.Clone(id), Class: class, Tenant: tenant.ID, Quota: tenant.Quota, Retry: r.Header.Get("X-Retry") == "1",
 		Key: r.URL.Query().Get("key"), Work: float64(work) / float64(time.Millisecond), Message: out, OneShot: out.Upload != nil,
 		Deadline: a.now() + min(wait, terms.Deadlines[class])}, nil // nobody waits longer, and no timer should
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,12 +40,8 @@
 		LateShare  float64 `json:"late_share"`
 		Stream     bool    `json:"stream"`
 	} `json:"categories"`
-	Tenants []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_per_s"`
-		Share float64 `json:"share"`
-	} `json:"tenants"`
-	Limits struct {
+	Tenants Tenants `json:"tenants"`
+	Limits  struct {
 		Cancel           bool    `json:"cancel"`
 		Probing          bool    `json:"probing"`
 		SecondCopies     bool    `json:"second_copies"`
@@ -163,24 +159,16 @@
 		}
 		named[k.Name] = true
 	}
-	for i := range c.Tenants {
-		if c.Tenants[i].Quota < 0 {
-			return bad("tenants["+strconv.Itoa(i)+"].quota_per_s", c.Tenants[i].Quota)
-		}
-	}
 	return nil
 }
 
-// Names maps the names of classes and tenants to their places in the settings.
-func (c *Settings) Names() (classes, tenants map[string]int) {
-	classes, tenants = map[string]int{}, map[string]int{}
+// Names maps the names of classes to their places in the settings.
+func (c *Settings) Names() (classes map[string]int) {
+	classes = map[string]int{}
 	for i := range c.Categories {
 		classes[c.Categories[i].Name] = i
 	}
-	for i := range c.Tenants {
-		tenants[c.Tenants[i].Name] = i
-	}
-	return classes, tenants
+	return classes
 }
 
 // FromMs turns milliseconds as they are told into a duration.
@@ -230,10 +218,6 @@
 		}
 		s.Classes = append(s.Classes, class)
 	}
-	for i := range c.Tenants {
-		t := &c.Tenants[i]
-		s.Tenants = append(s.Tenants, brain.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
-	}
 	return s, nil
 }
 
@@ -306,8 +290,10 @@
 	Known     json.RawMessage `json:"known"`    // a list in discovery's form
 	Raw       json.RawMessage `json:"settings"` // see Settings
 
-	text     []byte         // of the file
+	text     []byte         // of the file, without the tenants where those were cut out
+	cut      bool           // they were
 	Settings *Settings      `json:"-"`
+	Tenants  Tenants        `json:"-"` // of the settings, which have none themselves: they may be most of all that is told
 	Service  Service        `json:"-"` // of the settings file
 	Brain    brain.Settings `json:"-"`
 	Prng     uint64         `json:"-"`
@@ -324,8 +310,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
-	c := &Config{text: raw}
-	if err := json.Unmarshal(raw, c); err != nil {
+	c := new(Config)
+	var list []byte
+	c.text, list, c.cut = cut(raw, "settings", "tenants")
+	if err := json.Unmarshal(c.text, c); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
 	for _, v := range []struct {
@@ -339,7 +327,15 @@
 	if c.Service, err = LoadService(env(SettingsVariable)); err != nil {
 		return nil, err
 	}
-	return c, c.check()
+	if err := c.check(); err != nil {
+		return c, err
+	}
+	if c.Tenants, c.Settings.Tenants = c.Settings.Tenants, (Tenants{}); c.cut && string(list) != "null" {
+		if err := c.Tenants.read(list); err != nil {
+			return c, fmt.Errorf("settings: conf: %w", err)
+		}
+	}
+	return c, nil
 }
 
 // Fixed names the keys that differ in a configuration read later and are not taken up while the program runs.
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -22,15 +22,26 @@
 	if err := json.Unmarshal(next.text, &has); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
+	c.graft(had)
+	next.graft(has)
 	if key := lacks("", had, has); key != "" {
 		return nil, fmt.Errorf("%s is missing", key)
 	}
 	return next, nil
 }
 
+// graft puts the tenants where they were cut out.
+func (c *Config) graft(text any) {
+	if c.cut && c.Tenants.told {
+		text.(map[string]any)["settings"].(map[string]any)["tenants"] = &c.Tenants
+	}
+}
+
 // Keep takes over what is in force of a configuration that was read again.
 func (c *Config) Keep(next *Config) {
-	c.text, c.Discovery, c.Raw, c.Settings, c.Brain = next.text, next.Discovery, next.Raw, next.Settings, next.Brain
+	c.text, c.cut, c.Discovery, c.Raw, c.Settings, c.Brain = next.text, next.cut, next.Discovery, next.Raw, next.Settings, next.Brain
+	c.Tenants = next.Tenants
+	c.Tenants.text = nil // they are in the table
 }
 
 // free are the keys that may come and go: a list in hand is for a start, and a seed is new with each.
@@ -61,22 +72,38 @@
 			}
 		}
 	case []any:
-		common := shared(had)
-		list, ok := has.([]any)
-		if !ok {
-			return at
-		}
+		return lacksOfAll(at, shared(had), has)
+	case *Tenants:
+		return lacksOfAll(at, had.keys, has)
+	}
+	return ""
+}
+
+// lacksOfAll names a key of those given that an object of a list has not; nil: they need be no objects.
+func lacksOfAll(at string, keys []string, has any) string {
+	switch list := has.(type) {
+	case []any:
 		for i, v := range list {
-			if missing := lacks(fmt.Sprintf("%s[%d]", at, i), common, v); missing != "" {
-				return missing
+			o, ok := v.(map[string]any)
+			if keys != nil && !ok {
+				return fmt.Sprintf("%s[%d]", at, i)
+			}
+			for _, key := range keys {
+				if _, ok := o[key]; !ok {
+					return fmt.Sprintf("%s[%d].%s", at, i, key)
+				}
 			}
 		}
+	case *Tenants:
+		return list.lacks(at, keys)
+	default:
+		return at
 	}
 	return ""
 }
 
-// shared is an object of the keys that all objects of a list have; nil: they are no objects.
-func shared(list []any) any {
+// shared are the keys that all objects of a list have, in order; nil: they are no objects.
+func shared(list []any) []string {
 	var common map[string]any
 	for i, v := range list {
 		o, ok := v.(map[string]any)
@@ -91,8 +118,7 @@
 	if common == nil {
 		return nil
 	}
-	for key := range common {
-		common[key] = nil // what they hold is for the checks
-	}
-	return common
+	keys := slices.AppendSeq([]string{}, maps.Keys(common))
+	slices.Sort(keys)
+	return keys // what they hold is for the checks
 }
--- a/internal/lab/sockets/settings.go
+++ b/internal/lab/sockets/settings.go
@@ -52,14 +52,11 @@
 			Stream     bool    `json:"stream"`
 		}{k.Name, k.Repeat, k.Scope, inMs(k.Window), inMs(k.Aim), inMs(k.Deadline), k.Worth, k.Late, false})
 	}
-	for i := range sc.Tenants {
-		t := &sc.Tenants[i]
-		c.Tenants = append(c.Tenants, struct {
-			Name  string  `json:"name"`
-			Quota float64 `json:"quota_per_s"`
-			Share float64 `json:"share"`
-		}{t.Name, t.Quota, t.Share})
+	var tenants []config.Tenant
+	for _, t := range sc.Tenants {
+		tenants = append(tenants, config.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
 	}
+	c.Tenants = config.TenantsOf(tenants)
 	l := &c.Limits
 	l.Cancel, l.SecondCopies, l.RetryAfter = sc.Limits.Cancel, sc.Limits.SecondCopies, sc.Limits.RetryAfter
 	l.MaxAttempts, l.MaxRetryAfterMs = sc.Limits.MaxAttempts, inMs(sc.Limits.MaxRetryAfter)
--- a/internal/lab/virtual/balancer.go
+++ b/internal/lab/virtual/balancer.go
@@ -210,6 +210,9 @@
 	now := b.now()
 	c := &reducer.Call{ID: a.ID, ClientID: strconv.FormatUint(a.ID, 16), Class: a.Op.Class, Tenant: a.Op.Tenant, Retry: a.Retry,
 		Work: a.Op.Hint, Deadline: now + a.Deadline - a.Sent, OneShot: a.Op.Upload > held, Message: a}
+	if c.Tenant >= 0 {
+		c.Quota = b.run.sc.Tenants[c.Tenant].Quota
+	}
 	b.calls[a.ID] = a
 	b.handle(reducer.Arrived{Call: c})
 	return true
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -385,9 +385,6 @@
 		k.Scope = map[string]brain.Scope{"all": brain.ScopeAll, "zone": brain.ScopeZone, "cell": brain.ScopeCell}[c.Scope]
 		s.Classes = append(s.Classes, k)
 	}
-	for _, t := range sc.Tenants {
-		s.Tenants = append(s.Tenants, brain.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Share})
-	}
 	if len(s.Classes) == 0 {
 		return s, fmt.Errorf("%s: no classes", sc.Name)
 	}
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -48,7 +48,7 @@
 		r.byClient[c.ClientID] = c
 	}
 	first, later := r.boundOf(c)
-	r.tell(c.pool, &brain.Request{First: first, Later: later, ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Retry: c.Retry, Key: c.Key,
+	r.tell(c.pool, &brain.Request{First: first, Later: later, ID: c.brainID, Class: c.Class, Tenant: c.Tenant, Quota: c.Quota, Retry: c.Retry, Key: c.Key,
 		Work: c.Work, Deadline: c.deadline, Upload: c.OneShot})
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -66,7 +66,8 @@
 	ID       uint64
 	ClientID string // as the client wrote it; another client may have copied it
 	Class    int
-	Tenant   int
+	Tenant   int     // a number that stays with whoever asks, or -1
+	Quota    float64 // of that tenant, in requests per second over all balancers; 0: without bound
 	Retry    bool
 	Key      string
 	Work     float64
--- a/internal/reducer/retune.go
+++ b/internal/reducer/retune.go
@@ -25,8 +25,7 @@
 type Retuned struct {
 	Places  map[string]int // of the classes that calls may have, by name
 	Classes []brain.Class  // by place
-	Tenants []brain.Tenant
-	Tag     any // as it came with Reloaded
+	Tag     any            // as it came with Reloaded
 }
 
 func (Retuned) effect() {}
@@ -69,7 +68,7 @@
 			r.retunePool(p)
 		}
 	}
-	r.emit(Retuned{places, classes, next.Tenants, tag})
+	r.emit(Retuned{places, classes, tag})
 }
 
 // emptyPlace finds one that can be given away; -1: none.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 
 	"pewterrudder/brain"
 	"pewterrudder/internal/config"
+	"pewterrudder/internal/tenants"
 )
 
 // Batch is one line of input. Fields that the wire does not define are ignored.
@@ -113,7 +114,7 @@
 type instance struct {
 	node    *brain.Node
 	classes map[string]int
-	tenants map[string]int
+	tenants tenants.Table
 }
 
 // NewHost makes an empty host.
@@ -206,8 +207,8 @@
 		return nil, fmt.Errorf("conf: %w", err)
 	}
 	inst := &instance{node: node}
-	inst.classes, inst.tenants = c.Names()
-	return inst, nil
+	inst.classes = c.Names()
+	return inst, c.Tenants.Into(&inst.tenants, 1)
 }
 
 // event translates one item; nil for an event that says nothing to a node.
@@ -222,11 +223,11 @@
 		if e.OpID == "" || e.Deadline == 0 {
 			return nil, fmt.Errorf("inbound: op_id or client_deadline_ms is missing")
 		}
-		tenant, ok := n.tenants[e.Team]
+		tenant, ok := n.tenants.Find(e.Team)
 		if !ok {
-			tenant = -1
+			tenant.ID = -1
 		}
-		return &brain.Request{ID: e.OpID, Class: class, Tenant: tenant, Retry: e.Retry, Work: e.Expected, Key: e.Key,
+		return &brain.Request{ID: e.OpID, Class: class, Tenant: tenant.ID, Quota: tenant.Quota, Retry: e.Retry, Work: e.Expected, Key: e.Key,
 			Deadline: config.FromMs(e.Deadline)}, nil
 	case it.AttemptEnd != nil:
 		e := it.AttemptEnd
