Split the key-value follower from the list that it fills: Holder, Record, Follow

Seen: the follower kept a roster's entry and a map of its own for each key, so nothing but a list of nodes could be followed. Cause: what is held and who follows were one type. Change: Holder (Len, At, Keys, Begin, Apply) holds, the follower asks it what it has and keeps no list. The roster's view is one holder and tells its sink what it did before, a reading in one piece; others may take a reading's parts as they come. Follow starts a follower for any holder, New one for a roster. Keys that a reading does not find any more are found by passing over the held ones in order in place of a mark on each.

--- a/internal/registry/kv/attempts.go
+++ b/internal/registry/kv/attempts.go
@@ -83,7 +83,7 @@
 	if errors.As(err, new(cut)) {
 		c.cuts++
 	}
-	c.sink.Broke(fmt.Errorf("%s: %w", at.url, err))
+	c.health.Broke(fmt.Errorf("%s: %w", at.url, err))
 }
 
 // choose the endpoint of the next attempt: of those that are asked already the least, then none that is left alone, then
--- a/internal/registry/kv/follow.go
+++ b/internal/registry/kv/follow.go
@@ -8,13 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
-	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
-
-	"pewterrudder/internal/roster"
 )
 
 const (
@@ -143,10 +140,11 @@
 
 // snapshot reads all pages at the revision of the first and tells what they bring.
 func (c *Client) snapshot() {
-	c.reading++
+	c.holder.Begin()
 	var first origin
+	var read gist
 	cuts := c.cuts
-	var news []change
+	swept := newSweep(c.holder)
 	for from, more := c.prefix, true; more; {
 		p, _, err := c.ask(c.question(from, first.revision), from)
 		if err != nil {
@@ -167,58 +165,70 @@
 			c.judge(errHistory)
 			return
 		}
+		news := p.records[:0]
 		for _, r := range p.records {
-			was := c.view.keys[r.key]
-			switch h := c.view.read(r); {
-			case r.mod > first.revision:
+			from = r.Key + "\x00"
+			sum := Sum(r.Value)
+			read.add(r.Key, r.Revision, sum)
+			swept.pass(r.Key)
+			mod, held, ok := c.holder.At(r.Key)
+			switch {
+			case r.Revision > first.revision:
 				c.judge(errHistory) // not at the revision that was asked for
 				return
-			case !c.whole && was != nil && was.mod == h.mod && was.sum == h.sum:
-				was.seen = c.reading
-			case !c.whole && r.mod <= c.origin.revision:
+			case ok && mod == r.Revision && held == sum:
+			case !c.whole && r.Revision <= c.origin.revision:
 				c.judge(errHistory) // we followed up to there, and it was never told
 				return
 			default:
-				news = append(news, change{r.key, h})
+				news = append(news, r)
 			}
-			from = r.key + "\x00"
 		}
-		more = p.more
+		if more = p.more; len(news) > 0 {
+			c.holder.Apply(c.whole, 0, news)
+		}
 	}
 	whole := c.whole
 	if cuts != c.cuts { // the pages may be of two stores
-		if c.torn++; c.torn <= tornReadings || !whole || c.glance(c.ask, first, whatOf(each(news))) != nil {
+		if c.torn++; c.torn <= tornReadings || !whole || c.glance(c.ask, first, read) != nil {
 			c.pause(&c.verdicts)
 			return
 		}
 	}
 	c.torn = 0
 	c.origin, c.known, c.whole, c.looked, c.resumed = first, true, false, time.Now(), false
-	if whole {
-		c.view.refill(news)
-		c.sink.Said(true, first.revision, c.view.whole())
-		return
-	}
-	c.tell(c.view.turn(news, c.reading))
+	c.holder.Apply(whole, first.revision, swept.gone(first.revision))
 }
 
-func each(news []change) iter.Seq2[string, *held] {
-	return func(yield func(string, *held) bool) {
-		for _, n := range news {
-			if !yield(n.key, n.held) {
-				return
-			}
-		}
+// sweep of the keys that were held when a reading began, as it passes over them in order.
+type sweep struct {
+	held    []string // not yet passed, ascending
+	missing []string
+}
+
+func newSweep(h Holder) *sweep { return &sweep{held: slices.Sorted(h.Keys())} }
+
+// pass says that the store has a key, and has none between it and the one before.
+func (r *sweep) pass(key string) {
+	n := 0
+	for n < len(r.held) && r.held[n] < key {
+		n++
 	}
+	r.missing = append(r.missing, r.held[:n]...)
+	if n < len(r.held) && r.held[n] == key {
+		n++
+	}
+	r.held = r.held[n:]
 }
 
-// tell changes, or that there are none.
-func (c *Client) tell(entries []roster.Entry) {
-	if len(entries) == 0 {
-		c.sink.Heard()
-		return
+// gone gives what the store does not have at a revision, once all that it has was passed.
+func (r *sweep) gone(revision int64) (out []Record) {
+	for _, keys := range [][]string{r.missing, r.held} {
+		for _, k := range keys {
+			out = append(out, Record{Key: k, Revision: revision, Deleted: true})
+		}
 	}
-	c.sink.Said(false, c.origin.revision, entries)
+	return out
 }
 
 // stream is an open watch. It is read by the client's goroutine; silence ends its context.
@@ -315,7 +325,7 @@
 	if c.resumed && !c.same(s) {
 		return
 	}
-	c.sink.Heard()
+	c.health.Heard()
 	for {
 		select {
 		case <-c.wanted:
@@ -374,25 +384,19 @@
 		if !m.created && !m.fragment {
 			c.origin.revision = m.origin.revision
 		}
-		c.sink.Heard()
+		c.health.Heard()
 		return
 	}
-	var out []roster.Entry
-	for _, r := range m.events {
-		switch {
-		case r.mod <= c.origin.revision: // told before
-		case r.deleted:
-			out = c.view.drop(r.key, out)
-		default:
-			out = c.view.put(r.key, c.view.read(r), out)
-		}
+	told := 0
+	for told < len(m.events) && m.events[told].Revision <= c.origin.revision { // before
+		told++
 	}
-	last := m.events[len(m.events)-1].mod
+	last := m.events[len(m.events)-1].Revision
 	if m.fragment {
 		last-- // more of this revision may come
 	}
 	c.origin.revision, c.partial = max(c.origin.revision, last), m.fragment
-	c.tell(out)
+	c.holder.Apply(false, c.origin.revision, m.events[told:])
 }
 
 // same asks, after a break and before an event is believed, whether the store still is the one that we followed: one
@@ -404,10 +408,10 @@
 	s.quiet.Stop() // it waits until we read again
 	defer s.quiet.Reset(silence)
 	var err error
-	if len(c.view.keys) <= c.page || time.Since(c.looked) >= looksApart {
+	if c.holder.Len() <= c.page || time.Since(c.looked) >= looksApart {
 		err = c.look(c.ask)
 	} else {
-		err = c.glance(c.ask, c.origin, whatOf(maps.All(c.view.keys)))
+		err = c.glance(c.ask, c.origin, gistOf(c.holder))
 	}
 	if err != nil {
 		c.judge(err)
@@ -447,18 +451,24 @@
 // gist of a list: what glance compares.
 type gist struct {
 	keys   int
-	newest int64 // the last revision that wrote any of them
-	at     map[string]*held
+	newest int64             // the last revision that wrote any of them
+	at     map[string]uint32 // the sums of what it wrote
 }
 
-func whatOf(all iter.Seq2[string, *held]) (g gist) {
-	for k, h := range all {
-		g.keys++
-		if h.mod > g.newest {
-			g.newest, g.at = h.mod, map[string]*held{}
-		}
-		if h.mod == g.newest {
-			g.at[k] = h
+func (g *gist) add(key string, revision int64, sum uint32) {
+	g.keys++
+	if revision > g.newest {
+		g.newest, g.at = revision, map[string]uint32{}
+	}
+	if revision == g.newest {
+		g.at[key] = sum
+	}
+}
+
+func gistOf(h Holder) (g gist) {
+	for k := range h.Keys() {
+		if revision, sum, ok := h.At(k); ok {
+			g.add(k, revision, sum)
 		}
 	}
 	return g
@@ -476,14 +486,14 @@
 		return verdict{errHistory}
 	}
 	for _, r := range p.records {
-		if h := want.at[r.key]; h == nil || h.mod != r.mod || h.sum != sumOf(r.value) {
+		if sum, ok := want.at[r.Key]; !ok || r.Revision != want.newest || sum != Sum(r.Value) {
 			return verdict{errHistory}
 		}
 	}
 	return nil
 }
 
-// look holds the view against all keys at its own revision. A difference is a verdict.
+// look holds the list against all keys at its own revision. A difference is a verdict.
 func (c *Client) look(ask asker) error {
 	seen := 0
 	for from, more := c.prefix, true; more; {
@@ -495,15 +505,15 @@
 			return verdict{errHistory}
 		}
 		for _, r := range p.records {
-			if h := c.view.keys[r.key]; h == nil || h.mod != r.mod || h.sum != sumOf(r.value) {
+			if revision, sum, ok := c.holder.At(r.Key); !ok || revision != r.Revision || sum != Sum(r.Value) {
 				return verdict{errHistory}
 			}
 			seen++
-			from = r.key + "\x00"
+			from = r.Key + "\x00"
 		}
 		more = p.more
 	}
-	if seen != len(c.view.keys) {
+	if seen != c.holder.Len() {
 		return verdict{errHistory}
 	}
 	c.looked, c.resumed = time.Now(), false
--- a/internal/registry/kv/fuzz_test.go
+++ b/internal/registry/kv/fuzz_test.go
@@ -37,10 +37,10 @@
 		if p, count, err := readPage(raw, prefix, "nodes0", false); err == nil {
 			last := ""
 			for _, r := range p.records {
-				if r.key <= last || !strings.HasPrefix(r.key, prefix) || r.mod <= 0 {
+				if r.Key <= last || !strings.HasPrefix(r.Key, prefix) || r.Revision <= 0 {
 					t.Errorf("%+v", p)
 				}
-				last = r.key
+				last = r.Key
 			}
 			if p.origin.revision <= 0 || !p.more && count != int64(len(p.records)) {
 				t.Errorf("%+v", p)
@@ -49,10 +49,10 @@
 		if m, err := readMessage(raw, prefix, "nodes0"); err == nil {
 			last := int64(1)
 			for _, r := range m.events {
-				if r.mod < last || r.mod > m.origin.revision || !strings.HasPrefix(r.key, prefix) {
+				if r.Revision < last || r.Revision > m.origin.revision || !strings.HasPrefix(r.Key, prefix) {
 					t.Errorf("%+v", m)
 				}
-				last = r.mod
+				last = r.Revision
 			}
 			if m.origin.revision <= 0 && !m.canceled {
 				t.Errorf("%+v", m)
--- a/internal/registry/kv/kv.go
+++ b/internal/registry/kv/kv.go
@@ -44,10 +44,7 @@
 	// Said tells a whole list, or what has changed. A whole list comes first, and where the store's history is not the
 	// one that we followed: what it lacks has not been removed by anybody, and how to take that is the sink's.
 	Said(whole bool, revision int64, entries []roster.Entry)
-	// Heard is a sign of life without news.
-	Heard()
-	// Broke says that an attempt failed or a watch ended. The list told stays; attempts go on.
-	Broke(error)
+	Health
 }
 
 // Settings of a client.
@@ -69,7 +66,8 @@
 
 // Client follows one store.
 type Client struct {
-	sink      Sink
+	holder    Holder
+	health    Health
 	log       func(string)
 	prefix    string
 	end       string // the first key behind the prefix
@@ -94,11 +92,9 @@
 	verdicts int       // and answers that made us read anew: such a store answers, so its pauses grow by themselves
 	due      time.Time // no attempt before
 
-	view    *view
-	origin  origin // of the history that the view belongs to; its revision is the view's
-	known   bool   // there is a view, and nothing speaks against its history
-	whole   bool   // the next snapshot is told whole
-	reading uint64
+	origin  origin    // of the history that is held; its revision is the one at which it is
+	known   bool      // a list is held, and nothing speaks against its history
+	whole   bool      // the next snapshot is told whole
 	looked  time.Time // at all keys
 	resumed bool      // there has been a failure, and the keys have not been looked at since
 	cuts    int       // connections that ended under us
@@ -106,9 +102,17 @@
 	partial bool      // the view holds a part of the revision behind its own
 }
 
-// New starts to follow a store.
+// New starts to follow a store that holds a roster.
 func New(s Settings, sink Sink) (*Client, error) {
-	c := &Client{sink: sink, log: s.Log, prefix: s.Prefix, page: s.Page, rng: rand.New(rand.NewPCG(s.Seed, 0x6b7663)), whole: true,
+	if s.Started == nil {
+		return nil, errors.New("started is missing")
+	}
+	return Follow(s, newView(sink, s.Started, name(s.Log)), sink)
+}
+
+// Follow starts to follow a store's keys for a holder.
+func Follow(s Settings, holder Holder, health Health) (*Client, error) {
+	c := &Client{holder: holder, health: health, log: s.Log, prefix: s.Prefix, page: s.Page, rng: rand.New(rand.NewPCG(s.Seed, 0x6b7663)), whole: true,
 		wanted: make(chan struct{}, 1)}
 	if c.page == 0 {
 		c.page = defaultPage
@@ -116,8 +120,6 @@
 	switch {
 	case len(s.Endpoints) == 0:
 		return nil, errors.New("endpoints is empty")
-	case s.Started == nil:
-		return nil, errors.New("started is missing")
 	case s.Prefix == "":
 		return nil, errors.New("prefix is missing")
 	case c.page < 1 || c.page > mostPage:
@@ -137,7 +139,6 @@
 	if c.log == nil {
 		c.log = func(string) {}
 	}
-	c.view = newView(s.Started, c.name())
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	dial := s.Dial
 	if dial == nil {
@@ -273,7 +274,10 @@
 const namesEach = 20
 
 // name says what makes no sense.
-func (c *Client) name() func(string) {
+func name(log func(string)) func(string) {
+	if log == nil {
+		return func(string) {}
+	}
 	var since time.Time
 	said := 0
 	return func(text string) {
@@ -282,9 +286,9 @@
 		}
 		switch said++; {
 		case said <= namesEach:
-			c.log(text)
+			log(text)
 		case said == namesEach+1:
-			c.log("more values make no sense")
+			log("more values make no sense")
 		}
 	}
 }
--- a/internal/registry/kv/view.go
+++ b/internal/registry/kv/view.go
@@ -2,36 +2,37 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pewterrudder/internal/roster"
 )
 
 // held is a key of the store as last told.
 type held struct {
 	mod   int64
-	sum   uint64       // of the value
+	sum   uint32       // of the value
 	entry roster.Entry // without an id: the value makes no sense
-	seen  uint64       // the reading that saw it last
 }
 
-// view is the part of the store that we follow, at one revision. Where two keys name the same id, the one that was
-// written last counts: a node that registers anew may do so before its old key has run out.
+// view is a roster's Holder: the part of the store that we follow, at one revision. It is told a reading in parts and tells
+// it in one piece. Where two keys name the same id, the one that was written last counts: a node that registers anew may
+// do so before its old key has run out.
 type view struct {
+	sink    Sink
 	started func(ms float64) time.Duration
 	name    func(string) // says what makes no sense
 	keys    map[string]*held
 	owner   map[string]string // the key that counts for an id
 	doubles int               // keys that do not count because of another
 	words   map[string]string // zones and kinds, of which there are few, held once
+	parts   []change          // of a reading that has not come to its end
 }
 
-func newView(started func(ms float64) time.Duration, name func(string)) *view {
-	return &view{started: started, name: name, keys: map[string]*held{}, owner: map[string]string{}, words: map[string]string{}}
+func newView(sink Sink, started func(ms float64) time.Duration, name func(string)) *view {
+	return &view{sink: sink, started: started, name: name, keys: map[string]*held{}, owner: map[string]string{}, words: map[string]string{}}
 }
 
 // most words that are held once; more of them are no zones and kinds.
@@ -48,16 +49,16 @@
 }
 
 // read makes of a record what is held of it. What makes no sense is named, once for each value.
-func (v *view) read(r record) *held {
-	h := &held{mod: r.mod, sum: sumOf(r.value)}
-	was := v.keys[r.key]
+func (v *view) read(r Record) *held {
+	h := &held{mod: r.Revision, sum: Sum(r.Value)}
+	was := v.keys[r.Key]
 	if was != nil && was.sum == h.sum {
 		h.entry = was.entry
 		return h
 	}
-	e, err := Decode(r.value, v.started)
+	e, err := Decode(r.Value, v.started)
 	if err != nil {
-		v.name(fmt.Sprintf("key %.200q: %v", r.key, err))
+		v.name(fmt.Sprintf("key %.200q: %v", r.Key, err))
 		return h
 	}
 	e.Zone, e.Kind = v.word(e.Zone), v.word(e.Kind)
@@ -144,38 +145,83 @@
 	return out
 }
 
-// refill makes the view that of a reading of another history, in which our revisions mean nothing.
-func (v *view) refill(news []change) {
-	clear(v.keys)
-	clear(v.owner)
-	v.doubles = 0
-	for _, c := range news {
-		v.put(c.key, c.held, nil)
+// Len, At, Keys, Begin and Apply are the Holder.
+func (v *view) Len() int { return len(v.keys) }
+
+func (v *view) At(key string) (revision int64, sum uint32, ok bool) {
+	h := v.keys[key]
+	if h == nil {
+		return 0, 0, false
 	}
+	return h.mod, h.sum, true
 }
 
-// turn makes the view that of a reading: what differs is put, what the reading has not seen is dropped.
-func (v *view) turn(news []change, reading uint64) (out []roster.Entry) {
-	for _, c := range news {
-		c.held.seen = reading
-		out = v.put(c.key, c.held, out)
-	}
-	var gone []string
-	for k, h := range v.keys {
-		if h.seen != reading {
-			gone = append(gone, k)
+func (v *view) Keys() iter.Seq[string] { return maps.Keys(v.keys) }
+
+func (v *view) Begin() { v.parts = nil }
+
+func (v *view) Apply(whole bool, revision int64, records []Record) {
+	if revision == 0 || whole {
+		for _, r := range records {
+			v.parts = append(v.parts, v.change(r))
+		}
+		if revision == 0 {
+			return
 		}
 	}
-	slices.Sort(gone)
-	for _, k := range gone {
-		out = v.drop(k, out)
+	parts := v.parts
+	v.parts = nil
+	if whole {
+		v.renew(parts)
+		v.sink.Said(true, revision, v.whole())
+		return
 	}
-	return out
+	var out []roster.Entry
+	for _, c := range parts {
+		out = v.take(c, out)
+	}
+	for _, r := range records {
+		out = v.take(v.change(r), out)
+	}
+	if len(out) == 0 {
+		v.sink.Heard()
+		return
+	}
+	v.sink.Said(false, revision, out)
 }
 
 type change struct {
 	key  string
-	held *held
+	held *held // nil: deleted
 }
 
-func sumOf(value []byte) uint64 { return xxhash.Sum64(value) }
+func (v *view) change(r Record) change {
+	if r.Deleted {
+		return change{key: r.Key}
+	}
+	return change{r.Key, v.read(r)}
+}
+
+func (v *view) take(c change, out []roster.Entry) []roster.Entry {
+	if c.held == nil {
+		return v.drop(c.key, out)
+	}
+	return v.put(c.key, c.held, out)
+}
+
+// renew makes the view that of another history, in which our revisions mean nothing: who counts for an id is found anew.
+func (v *view) renew(news []change) {
+	all := v.keys
+	for _, c := range news {
+		if c.held == nil {
+			delete(all, c.key)
+		} else {
+			all[c.key] = c.held
+		}
+	}
+	v.keys, v.doubles = make(map[string]*held, len(all)), 0
+	clear(v.owner)
+	for _, k := range slices.Sorted(maps.Keys(all)) {
+		v.put(k, all[k], nil)
+	}
+}
--- a/internal/registry/kv/wire.go
+++ b/internal/registry/kv/wire.go
@@ -121,18 +121,10 @@
 	Error *fault `json:"error"`
 }
 
-// record is a pair whose figures have been read.
-type record struct {
-	key     string
-	value   []byte
-	mod     int64
-	deleted bool
-}
-
 // page is a checked answer to a range: its keys ascend, lie within what was asked for, and are as many as it says.
 type page struct {
 	origin  origin
-	records []record
+	records []Record
 	more    bool
 }
 
@@ -167,7 +159,7 @@
 	if p.origin.revision == 0 {
 		return p, 0, errors.New("range: no revision")
 	}
-	p.more, p.records = in.More, make([]record, 0, len(in.Pairs))
+	p.more, p.records = in.More, make([]Record, 0, len(in.Pairs))
 	for i := range in.Pairs {
 		kv := &in.Pairs[i]
 		mod, err := kv.Mod.signed()
@@ -180,7 +172,7 @@
 		case mod == 0:
 			return p, 0, fmt.Errorf("range: kvs[%d]: no mod_revision", i)
 		}
-		p.records = append(p.records, record{key: key, value: kv.Value, mod: mod})
+		p.records = append(p.records, Record{Key: key, Value: kv.Value, Revision: mod})
 		from = key + "\x00"
 	}
 	if count, err = in.Count.signed(); err != nil {
@@ -197,7 +189,7 @@
 	compacted bool
 	fragment  bool
 	reason    string
-	events    []record
+	events    []Record
 }
 
 // readMessage reads one line of a watch of the keys from one to before another.
@@ -243,7 +235,7 @@
 			return message{}, fmt.Errorf("watch: events[%d]: unknown type %.40q", i, e.Type)
 		}
 		last = mod
-		m.events = append(m.events, record{key: key, value: e.Pair.Value, mod: mod, deleted: e.Type == "DELETE"})
+		m.events = append(m.events, Record{Key: key, Value: e.Pair.Value, Revision: mod, Deleted: e.Type == "DELETE"})
 	}
 	return m, nil
 }
