--- a/internal/lab/kvd/store.go
+++ b/internal/lab/kvd/store.go
@@ -36,6 +36,12 @@
 // at gives a key as it was at a revision.
 func (h *history) at(key string, rev int64) *mvccpb.KeyValue {
 	v := h.versions[key]
+	if n := len(v); n > 0 && v[n-1].ModRevision <= rev { // as nearly all are asked for
+		if v[n-1].Version == 0 {
+			return nil
+		}
+		return v[n-1]
+	}
 	i := sort.Search(len(v), func(i int) bool { return v[i].ModRevision > rev })
 	if i == 0 || v[i-1].Version == 0 {
 		return nil
--- a/internal/registry/kv/attempts.go
+++ b/internal/registry/kv/attempts.go
@@ -80,7 +80,7 @@
 func (c *Client) broke(at *endpoint, err error) {
 	c.pause(&c.failures)
 	if c.sparse != nil {
-		c.due = time.Now().Add(c.within(spread / time.Duration(len(c.endpoints))))
+		c.comeBack()
 	}
 	c.resumed = true
 	if errors.As(err, new(cut)) {
--- a/internal/registry/kv/net_test.go
+++ b/internal/registry/kv/net_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // wire is a network in memory between one client and a server, so that time can be virtual.
@@ -15,6 +16,7 @@
 	open  int  // connections that the client has not closed
 	dials map[string]int
 	ended chan struct{}
+	bytes atomic.Int64 // that the client has read and written
 }
 
 func newWire() *wire {
@@ -77,6 +79,18 @@
 	w *wire
 }
 
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.w.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.w.bytes.Add(int64(n))
+	return n, err
+}
+
 func (c *counted) Close() error {
 	c.w.mu.Lock()
 	c.w.open--
--- a/internal/registry/kv/sparse.go
+++ b/internal/registry/kv/sparse.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// spread is over how long followers that broke together come back: 3,000 make 2,000 calls a second of it, and a change
-	// that is written at once is still everywhere within 4 s: 1.5 s, an attempt that hangs (eagerWait), and the answers.
-	spread = 1500 * time.Millisecond
+	// spread is over how long followers that broke together come back: 3,000 make 3,000 calls a second of it, two for each,
+	// and a change that is written at once is still everywhere within 4 s: 2 s, and an attempt that hangs (eagerWait).
+	spread = 2 * time.Second
 	// scatterEach is by how much each key lengthens the time over which followers begin to read another history whole,
 	// mostScatter the most: 300,000 keys make two minutes, in which 3,000 followers begin 25 readings a second.
 	scatterEach = 400 * time.Microsecond
@@ -20,10 +20,12 @@
 	reviewAgain = time.Minute
 	// sparsePage is the keys of a page of a long list, some 1 MB: the store counts all that follow for each.
 	sparsePage = 5000
-	// sliceKeys are the keys of one step of the look at all: some 50 KB, which at lookRate is a step in 25 s.
+	// sliceKeys are the keys of one step of the look at all: some 40 KB, which at lookRate is a step in 20 s.
 	sliceKeys = 256
+	// keyBytes is about what the store says of a key with a tenant's value.
+	keyBytes = 160
 	// lookRate is the default of bytes a second that the look at all keys takes, half of what a balancer's control work
-	// may: 310,000 keys are looked at in about 8 hours.
+	// may: 310,000 keys are looked at in some 7 hours.
 	lookRate = 2 << 10
 	// readRate is the default of bytes a second of a whole reading: 310,000 keys take some 15 s.
 	readRate = 4 << 20
@@ -52,13 +54,26 @@
 	s.reviewed = at.revision
 	now := time.Now()
 	s.review = now.Add(c.within(c.reviewEvery()))
-	s.slice = now.Add(c.within(looksApart))
+	if s.slice.IsZero() {
+		s.slice = now.Add(c.within(time.Duration(sliceKeys*keyBytes) * time.Second / time.Duration(s.lookRate)))
+	}
 }
 
 func (c *Client) reviewEvery() time.Duration {
 	return lookEvery + time.Duration(c.holder.Len())*reviewEach*5/6
 }
 
+// comeBack sets when the next attempt after a failure is made. The first is drawn from the whole time, so that followers
+// that break together are apart at once; those that follow keep them so.
+func (c *Client) comeBack() {
+	d := spread / time.Duration(len(c.endpoints))
+	if c.failures > 1 {
+		c.due = time.Now().Add(c.jitter(d))
+		return
+	}
+	c.due = time.Now().Add(c.within(d))
+}
+
 // within draws from a time.
 func (c *Client) within(d time.Duration) time.Duration {
 	return time.Duration(c.rng.Int64N(int64(d) + 1))
