--- a/internal/registry/kv/follow.go
+++ b/internal/registry/kv/follow.go
@@ -223,7 +223,14 @@
 	missing []string
 }
 
-func newSweep(h Holder) *sweep { return &sweep{held: slices.Sorted(h.Keys())} }
+func newSweep(h Holder) *sweep { return &sweep{held: ascending(h)} }
+
+// ascending gives the keys that are held, in order.
+func ascending(h Holder) []string {
+	keys := slices.AppendSeq(make([]string, 0, h.Len()), h.Keys())
+	slices.Sort(keys)
+	return keys
+}
 
 // pass says that the store has a key, and has none between it and the one before.
 func (r *sweep) pass(key string) {
--- a/internal/registry/kv/hunt.go
+++ b/internal/registry/kv/hunt.go
@@ -1,9 +1,6 @@
 package kv
 
-import (
-	"slices"
-	"strconv"
-)
+import "strconv"
 
 // fewKeys is how many keys a hunt asks for by name: that is some 3 KB, as much as the six counts that it spares.
 const fewKeys = 32
@@ -17,7 +14,7 @@
 	if keys > int64(c.holder.Len()) {
 		return nil, verdict{errHistory} // it has some that were never told
 	}
-	held := slices.Sorted(c.holder.Keys())
+	held := ascending(c.holder)
 	bound := func(i int) string {
 		switch i {
 		case 0:
--- a/internal/registry/kv/review.go
+++ b/internal/registry/kv/review.go
@@ -120,13 +120,13 @@
 func (c *Client) lookOn(ask asker) error {
 	s := c.sparse
 	if len(s.bounds) < 2 {
-		s.bounds = s.bounds[:0]
-		keys := slices.Sorted(c.holder.Keys())
-		s.bounds = append(s.bounds, c.prefix)
-		for i := sliceKeys; i < len(keys); i += sliceKeys {
-			s.bounds = append(s.bounds, keys[i])
+		s.bounds = append(s.bounds[:0], c.prefix, c.end)
+		for key := range c.holder.Keys() { // drawn: to order all would take the memory of all
+			if c.rng.IntN(sliceKeys) == 0 {
+				s.bounds = append(s.bounds, key)
+			}
 		}
-		s.bounds = append(s.bounds, c.end)
+		slices.Sort(s.bounds)
 		s.slices = len(s.bounds) - 1
 	}
 	s.slice = time.Now().Add(reviewAgain)
--- a/internal/registry/kv/sparse.go
+++ b/internal/registry/kv/sparse.go
@@ -15,12 +15,12 @@
 	mostScatter = 2 * time.Minute
 	// reviewEach is by how much each key lengthens the time between two reviews, which cost the store a walk over all
 	// keys: from lookEvery for a short list to half an hour for 300,000, with 3,000 followers 1.7 such walks a second.
-	reviewEach = 6 * time.Millisecond
+	reviewEach = 5 * time.Millisecond
 	// reviewAgain is when a review that failed is tried again.
 	reviewAgain = time.Minute
 	// sparsePage is the keys of a page of a long list, some 1 MB: the store counts all that follow for each.
 	sparsePage = 5000
-	// sliceKeys are the keys of one step of the look at all: some 40 KB, which at lookRate is a step in 20 s.
+	// sliceKeys are the keys, in the mean, of one step of the look at all: some 40 KB, which at lookRate is a step in 20 s.
 	sliceKeys = 256
 	// keyBytes is about what the store says of a key with a tenant's value.
 	keyBytes = 160
@@ -60,7 +60,7 @@
 }
 
 func (c *Client) reviewEvery() time.Duration {
-	return lookEvery + time.Duration(c.holder.Len())*reviewEach*5/6
+	return lookEvery + time.Duration(c.holder.Len())*reviewEach
 }
 
 // comeBack sets when the next attempt after a failure is made. The first is drawn from the whole time, so that followers
--- a/internal/registry/kv/sparse_test.go
+++ b/internal/registry/kv/sparse_test.go
@@ -383,6 +383,18 @@
 	})
 }
 
+func TestRatesAreChecked(t *testing.T) {
+	t.Parallel()
+	for _, s := range []Settings{{LookRate: -1}, {ReadRate: -1}} {
+		s.Endpoints, s.Prefix = []string{"a:1"}, prefix
+		if c, err := Follow(s, newRecords(), newTold()); err == nil || !strings.HasPrefix(err.Error(), "rates") {
+			if t.Errorf("%+v: %v", s, err); err == nil {
+				c.Close()
+			}
+		}
+	}
+}
+
 func BenchmarkAChange(b *testing.B) {
 	h := newRecords()
 	c := &Client{holder: h, health: newTold(), prefix: prefix, end: after(prefix), sparse: &sparse{}}
