Ask again beside a silent watch soon after an error, before its end and a pause

Term: whatever failed, a change counts as told 6 s after discovery had it and could be reached. Chains found, from the moment from which discovery is well (the calls out by then being lost): - An open watch falls silent, the call beside it (2.5 s) is answered 503: the next was put off by 3.9 s, the watch ended at 4 s, and a pause of 0.5 to 1.5 s came on top: 5.5 s after the silence. Now a second later. - A call is lost, an older one beside it fails: the next was put off beyond the lost one's own patience of 4 s, which ended the watch; 5.5 s with the pause. Now 3.9 s after the lost call went out, and the watch goes on. So the worst chain is 3.9 s (one call that was taken and lost) and what the connection takes. Ruled out: connections that come up late (a call goes out beside them after 3.9 s, whatever the dial does), refused and ended ones (1.5 s at most).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -119,12 +119,16 @@
 // first, one a second: the first line decides which of them is the watch, and the others close.
 func (g *Registry) watch(ctx context.Context, e reducer.Watch) error {
 	words := make(chan word)
-	calls, last := map[int]context.CancelFunc{}, -1
+	type asked struct {
+		cancel context.CancelFunc
+		at     time.Time
+	}
+	calls, last := map[int]asked{}, -1
 	begin := func() {
 		last++
 		call, cctx, since := last, ctx, e.Since
 		own, cancel := context.WithCancel(cctx)
-		calls[call] = cancel
+		calls[call] = asked{cancel, time.Now()}
 		go func() {
 			err := g.follow(own, e.Discovery, since, func(l *reducer.List) {
 				select {
@@ -139,8 +143,8 @@
 		}()
 	}
 	defer func() {
-		for _, cancel := range calls {
-			cancel()
+		for _, c := range calls {
+			c.cancel()
 		}
 	}()
 	begin()
@@ -158,25 +162,33 @@
 			begin()
 			beside.Reset(besideEvery)
 		case w := <-words:
-			if calls[w.call] == nil {
+			if _, out := calls[w.call]; !out {
 				continue // it was closed
 			}
 			if w.err != nil {
-				calls[w.call]()
+				calls[w.call].cancel()
 				delete(calls, w.call)
 				if len(calls) == 0 {
 					return w.err
 				}
 				if late := net.Error(nil); w.err != errSilent && !(errors.As(w.err, &late) && late.Timeout()) {
-					beside.Reset(besideHead) // it speaks: the calls that are out have their turn coming
+					// It speaks: the calls that are out have their turn coming, each until its patience ends. A watch that has
+					// fallen silent has none, and its end would be followed by a pause.
+					wait := besideEvery
+					for call, c := range calls {
+						if call != leads {
+							wait = max(wait, besideHead-time.Since(c.at))
+						}
+					}
+					beside.Reset(wait)
 				}
 				continue
 			}
 			if w.call != leads {
 				leads = w.call
-				for call, cancel := range calls {
+				for call, c := range calls {
 					if call != leads {
-						cancel()
+						c.cancel()
 						delete(calls, call)
 					}
 				}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -194,3 +194,68 @@
 		})
 	}
 }
+
+// A call beside a silent watch that is answered with an error must not put off the next one until that watch has ended: a pause
+// would come on top, and what discovery has by then counts as told after 6 s. It asks again a second later, or just before
+// the patience with the newest call that may have its turn coming ends, and the reducer hears of no end.
+func TestAnErrorBesideASilentWatchDoesNotPutTheNextCallOff(t *testing.T) {
+	const busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+	const list = "HTTP/1.1 200 OK\r\n\r\n" + change + "\n"
+	for name, c := range map[string]struct {
+		says  []string // to each call in turn; nothing: it is lost
+		since int      // the call from which on discovery was well, but for that one
+		most  time.Duration
+	}{
+		"open":    {[]string{list, busy, strings.Replace(list, "43", "57", 1)}, 1, besideEvery},
+		"no head": {[]string{"", "", busy, strings.Replace(list, "43", "57", 1)}, 1, besideHead},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			came := make(chan time.Time, 20)
+			go func() {
+				for i := range c.says {
+					nc, err := l.Accept()
+					if err != nil {
+						return
+					}
+					came <- time.Now()
+					go func() {
+						defer nc.Close()
+						buf := make([]byte, 1000)
+						nc.Read(buf)
+						fmt.Fprint(nc, c.says[i])
+						if c.says[i] != busy {
+							nc.Read(buf) // until it is given back
+						}
+					}()
+				}
+			}()
+			events := make(chan reducer.Event, 10)
+			g := New(func(e reducer.Event) { events <- e }, func(string) {}, clock)
+			g.Watch(reducer.Watch{ID: 7, Discovery: l.Addr().String(), Since: 41})
+			for {
+				got, ok := next(t, events).(reducer.Listed)
+				if !ok {
+					t.Fatal("the watch has ended")
+				}
+				if got.List.Revision == 57 {
+					break
+				}
+			}
+			var from time.Time
+			for i := range c.says {
+				if at := <-came; i == c.since {
+					from = at
+				}
+			}
+			if took := time.Since(from); took > c.most+time.Second {
+				t.Errorf("heard %v after discovery was well", took)
+			}
+		})
+	}
+}
