--- a/cmd/pewterrudder/flow_test.go
+++ b/cmd/pewterrudder/flow_test.go
@@ -61,18 +61,24 @@
 		change(&setup)
 	}
 	s.cmd, s.log = s.program(setup)
-	t.Cleanup(func() {
+	s.started()
+	return s
+}
+
+// started waits until the program serves, and has it end with the test.
+func (s *stand) started() {
+	s.t.Helper()
+	s.t.Cleanup(func() {
 		s.cmd.Process.Kill()
 		s.cmd.Wait()
 		s.node.Close()
-		if t.Failed() {
-			t.Logf("the balancer's log:\n%s", s.log)
+		if s.t.Failed() {
+			s.t.Logf("the balancer's log:\n%s", s.log)
 		}
 	})
 	if err := flowrig.WaitReady(s.addr, longAgo); err != nil {
-		t.Fatalf("%v: %s", err, s.log)
+		s.t.Fatalf("%v: %s", err, s.log)
 	}
-	return s
 }
 
 // newPair has two app nodes, and two attempts at a call.
--- a/cmd/pewterrudder/leaving_test.go
+++ b/cmd/pewterrudder/leaving_test.go
@@ -111,6 +111,23 @@
 
 // open lets everyone in, and answers.
 func (d *door) open() {
+	d.accept(func(nc net.Conn) {
+		for br := bufio.NewReader(nc); ; {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			d.ids = append(d.ids, req.Header.Get("X-Request-Id"))
+			d.mu.Unlock()
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+}
+
+// accept lets everyone in, to be served so.
+func (d *door) accept(serve func(net.Conn)) {
 	file := os.NewFile(uintptr(d.fd), "door")
 	l, err := net.FileListener(file)
 	file.Close()
@@ -129,17 +146,7 @@
 			d.mu.Unlock()
 			go func() {
 				defer nc.Close()
-				for br := bufio.NewReader(nc); ; {
-					req, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					d.mu.Lock()
-					d.ids = append(d.ids, req.Header.Get("X-Request-Id"))
-					d.mu.Unlock()
-					io.Copy(io.Discard, req.Body)
-					io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
+				serve(nc)
 			}()
 		}
 	}()
