Have idle clients leave descriptors to the watch where there are fewer than told

Seen, by a test with real processes whose RLIMIT_NOFILE is 40 or 64 while limits.sockets is 256 or 1024, and 150 idle clients that come again whenever they are shut out: the watch that ended with discovery's fall could not be opened anew, since each descriptor that came free was a client's at once. Where accepting finds no descriptor left, the clients now hold a third of what they had less, six connections at the least, for a minute. The test was seen failing without the change (two of six cases).

--- a/cmd/pewterrudder/told_test.go
+++ b/cmd/pewterrudder/told_test.go
@@ -66,18 +66,30 @@
 	if len(bad) == 0 {
 		d.well <- time.Now()
 	}
-	t.Cleanup(func() {
-		ln.Close()
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		for _, nc := range d.kept {
-			nc.Close()
-		}
-	})
+	t.Cleanup(d.down)
 	go d.serve()
 	return d
 }
 
+// asked is how many calls have come.
+func (d *fickle) asked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// down ends all that is open, and refuses what comes.
+func (d *fickle) down() {
+	d.ln.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, nc := range d.kept {
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	}
+	d.kept = nil
+}
+
 func (d *fickle) serve() {
 	for {
 		nc, err := d.ln.Accept()
@@ -129,7 +141,7 @@
 	return fmt.Sprintf(`{"revision":2,"complete":true,"members":[{"id":"s-2","host_port":%q,"locality":"a","phase":"Ready","size":1}]}`, n.Addr())
 }
 
-func newInformed(t *testing.T, how, discovery string) *informed {
+func newInformed(t *testing.T, how, discovery string, change func(*flowrig.Setup)) *informed {
 	t.Helper()
 	s := &stand{t: t}
 	var err error
@@ -141,6 +153,9 @@
 	}
 	setup := flowrig.Setup{Nodes: []string{s.node.Addr()}, Classes: []flowrig.Class{flowrig.Bulk}, MemoryMB: 192, Sockets: 256,
 		Attempts: 1, Discovery: discovery}
+	if change != nil {
+		change(&setup)
+	}
 	w := &informed{stand: s, config: strings.Replace(setup.Config(s.addr), `"discovery": "ask"`, `"discovery": "`+how+`"`, 1)}
 	s.cmd, s.log = balancer(t, w.config)
 	w.path, _ = strings.CutPrefix(s.cmd.Env[len(s.cmd.Env)-1], "RELAY_CONFIG=")
@@ -226,7 +241,7 @@
 			t.Run(how+": "+what, func(t *testing.T) {
 				t.Parallel()
 				d := newFickle(t, "127.0.0.1:0", another(t), bad...)
-				newInformed(t, how, d.ln.Addr().String()).hears(d.well)
+				newInformed(t, how, d.ln.Addr().String(), nil).hears(d.well)
 			})
 		}
 		t.Run(how+": nobody is there", func(t *testing.T) {
@@ -235,14 +250,14 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			w := newInformed(t, how, addr)
+			w := newInformed(t, how, addr, nil)
 			w.log.until(t, "watch ended")
 			w.hears(newFickle(t, addr, another(t)).well)
 		})
 		t.Run(how+": no connection comes up", func(t *testing.T) {
 			t.Parallel()
 			d, list := newDoor(t), another(t)
-			w := newInformed(t, how, d.addr)
+			w := newInformed(t, how, d.addr, nil)
 			d.knocked()
 			d.accept(func(nc net.Conn) {
 				io.WriteString(nc, head+list+"\n")
@@ -266,13 +281,9 @@
 			t.Run("it was "+was+" "+what, func(t *testing.T) {
 				t.Parallel()
 				old := newFickle(t, "127.0.0.1:0", "", before...)
-				w := newInformed(t, "ask", old.ln.Addr().String())
+				w := newInformed(t, "ask", old.ln.Addr().String(), nil)
 				if len(before) < 2 {
-					until(t, "the old one is asked", func() bool {
-						old.mu.Lock()
-						defer old.mu.Unlock()
-						return old.calls > 0
-					})
+					until(t, "the old one is asked", func() bool { return old.asked() > 0 })
 				} else {
 					w.log.until(t, "watch ended")
 				}
--- a/internal/acceptor/clients.go
+++ b/internal/acceptor/clients.go
@@ -31,6 +31,8 @@
 	freed        *sync.Cond
 	open         int
 	order        uint64
+	bound        int // of the budget, while the process has fewer descriptors than it was told
+	boundUntil   time.Time
 	leaving      int                // of the open ones, those that were told to end and have not yet
 	silent       map[*client]uint64 // not heard of yet, by order of arrival
 	idle         map[*client]uint64 // between calls, by order of their last answers
@@ -62,6 +64,9 @@
 	unsent = 512 << 10
 	// lingerMost bounds what is taken of a body that nobody wants, in bytes: what the largest bodies of the platform have.
 	lingerMost = 40 << 20
+	// shortLeast of the descriptors are given back at the least where the process has no more: for the watch, one beside it, and
+	// app nodes. That lasts for shortFor: who was told of more descriptors than there are may have them again.
+	shortLeast, shortFor = 6, time.Minute
 )
 
 // flow says that an answer flows from now on, to a client that takes nothing for no longer than the patience, or that
@@ -319,16 +324,41 @@
 func (c *clients) room() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.open >= c.budget {
-		if len(c.silent) > c.budget/4 || len(c.idle) == 0 {
-			c.dismiss(c.silent)
-		} else {
-			c.dismiss(c.idle)
-		}
+	for c.open >= c.most() {
+		c.makeRoom()
 		c.freed.Wait()
 	}
 }
 
+// makeRoom has one connection without a call end.
+func (c *clients) makeRoom() {
+	if len(c.silent) > c.most()/4 || len(c.idle) == 0 {
+		c.dismiss(c.silent)
+	} else {
+		c.dismiss(c.idle)
+	}
+}
+
+// most is how many connections may be open now.
+func (c *clients) most() int {
+	if c.bound > 0 && time.Now().Before(c.boundUntil) {
+		return min(c.budget, c.bound)
+	}
+	return c.budget
+}
+
+// short is told that the process has no descriptor left, though the budget is not used up. The clients then give a part of what
+// they hold back for a while, to the watch and to app nodes: idle clients that came again for each one that is shut out
+// would else be quicker than they, time and again.
+func (c *clients) short() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bound, c.boundUntil = max(1, min(c.most(), c.open-max(shortLeast, c.open/3))), time.Now().Add(shortFor)
+	for over := c.open - c.leaving - c.bound; over > 0 && len(c.silent)+len(c.idle) > 0; over-- {
+		c.makeRoom()
+	}
+}
+
 type limited struct {
 	net.Listener
 	clients *clients
@@ -345,11 +375,13 @@
 			l.clients.room() // only now: nobody has to leave while nobody comes
 			return &client{TCPConn: nc.(*net.TCPConn)}, nil
 		case err == nil:
+			l.clients.short()
 			turnAway(nc)
 			l.spare.keep()
 		case !isShort(err):
 			return nil, err
 		default:
+			l.clients.short()
 			l.clients.part(false)
 			if !l.spare.give() {
 				time.Sleep(shortPause)
