--- a/cmd/rudderlab/main_test.go
+++ b/cmd/rudderlab/main_test.go
@@ -31,7 +31,7 @@
 	}
 	// What a textbook policy does to cold app nodes breaks a rule.
 	breaks := []string{"run", "rolling-deploy", "--policy=greedy", "--set=length=20s", "--set=faults[0].at=1s", "--set=faults[0].every=2s",
-		"--set=traffic.rate=0", "--set=traffic.load=0.9", "--set=rules.cold_slack_ms=10", "--set=rules.overload_factor=1"}
+		"--set=traffic.rate=0", "--set=traffic.load=0.9", "--set=rules.overload_factor=1"}
 	for _, c := range []struct {
 		status int
 		out    string // in standard output or error
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -61,6 +61,7 @@
 	ByClass       []ClassCounts
 	ByTenant      []ClassCounts
 	Work          float64 // ms of work that app nodes were sent
+	MeanWork      float64 // ms of a request, as the classes come
 }
 
 // ClassCounts are those of one class or tenant.
@@ -88,9 +89,11 @@
 	grace time.Duration
 	told  []map[*world.Node]time.Duration // by balancer: when it was told that a node leaves
 	start []map[*world.Node]int           // and the start that it was told of
+	began map[*world.Node]start           // which start discovery has, and since when
 	knew  map[*world.Node]time.Duration   // when discovery knew that a node leaves
 	since []time.Duration                 // when discovery could reach the balancer again; below 0: it can't
 	loads []*load                         // by node
+	cold  []*window                       // by node: what a cold one was sent
 
 	attempts []tally // by node
 	calls    tally   // to discovery
@@ -101,16 +104,15 @@
 
 // load is what a node was sent, in a ring of slices of a window.
 type load struct {
-	work, told, could [slices]float64 // ms; ms from balancers that knew of its start; ms that it could do
-	at                int64           // the slice that is being filled
-	filled            int
-	epoch             int
-	over              bool // the break of this start is counted
+	work, could [slices]float64 // ms; ms that it could do
+	at          int64           // the slice that is being filled
+	filled      int
+	epoch       int
 }
 
 // New makes an oracle; Watch must follow.
 func New(sc *scenario.Scenario) *Oracle {
-	o := &Oracle{sc: sc, grace: sc.Rules.Grace.D(), knew: map[*world.Node]time.Duration{}}
+	o := &Oracle{sc: sc, grace: sc.Rules.Grace.D(), knew: map[*world.Node]time.Duration{}, began: map[*world.Node]start{}}
 	o.ByClass = make([]ClassCounts, len(sc.Classes))
 	o.ByTenant = make([]ClassCounts, len(sc.Tenants))
 	for range sc.Balancers.Count {
@@ -122,7 +124,15 @@
 }
 
 // Watch sets the world that is judged.
-func (o *Oracle) Watch(w *world.World) { o.w = w }
+func (o *Oracle) Watch(w *world.World) {
+	o.w = w
+	sum := 0.0
+	for i := range w.Classes {
+		k := &w.Classes[i]
+		o.MeanWork, sum = o.MeanWork+k.Share*k.Work.Mean(), sum+k.Share
+	}
+	o.MeanWork /= sum
+}
 
 // Break enters a broken rule.
 func (o *Oracle) Break(r Rule, format string, args ...any) {
@@ -314,6 +324,9 @@
 func (o *Oracle) Knew(n *world.Node, s world.State) {
 	if s == world.Ready {
 		delete(o.knew, n)
+		if o.began[n].epoch != n.Epoch {
+			o.began[n] = start{n.Epoch, o.w.Clock.Now()}
+		}
 	} else if _, ok := o.knew[n]; !ok {
 		o.knew[n] = o.w.Clock.Now()
 	}
@@ -381,7 +394,7 @@
 	return max(0, o.w.Clock.Now()-at-o.sc.Rules.DrainGrace.D()-o.grace)
 }
 
-// ---- cold app nodes and pressure ----
+// ---- pressure ----
 
 func (o *Oracle) width() time.Duration { return o.sc.Rules.FallFor.D() / slices }
 
@@ -403,9 +416,7 @@
 	i := slice % slices
 	l.work[i] += j.Work
 	o.Work += j.Work
-	if warmth := n.Warmth(); warmth < 1 {
-		o.cold(n, l, j, balancer, warmth)
-	}
+	o.coldCame(n, j, balancer)
 }
 
 // canDo is the work that a node can do in a slice, at its present state.
@@ -431,44 +442,11 @@
 	from := max(l.at+1, slice-slices+1)
 	l.filled = min(slices, l.filled+int(slice-l.at))
 	for s := from; s <= slice; s++ {
-		l.work[s%slices], l.told[s%slices], l.could[s%slices] = 0, 0, could
+		l.work[s%slices], l.could[s%slices] = 0, could
 	}
 	l.at = slice
 }
 
-// cold holds the work of the window against the budget of a cold node. It counts where two thirds of it came from
-// balancers that were told of the start.
-func (o *Oracle) cold(n *world.Node, l *load, j *world.Job, balancer int, warmth float64) {
-	r := &o.sc.Rules
-	if r.ColdFor <= 0 {
-		return
-	}
-	if o.start[balancer][n] == n.Epoch {
-		l.told[l.at%slices] += j.Work
-	}
-	work, told := 0.0, 0.0
-	for i := range l.work {
-		work += l.work[i]
-		told += l.told[i]
-	}
-	could := float64(n.Cores) * n.Speed * warmth * r.FallFor.D().Seconds() * 1000
-	bound, knew := r.OverloadFactor*could+r.ColdSlack, told >= work*2/3
-	if knew {
-		o.ColdShare = max(o.ColdShare, work/bound)
-	}
-	if work <= bound || l.over {
-		return
-	}
-	l.over = true
-	if knew {
-		o.Break(Cold, "app node %d, %v after its start, was sent %.0f ms of work in %v, and could do %.0f ms", n.Index,
-			o.w.Clock.Now()-n.Started, work, r.FallFor.D(), could)
-	}
-	if r.Falls {
-		o.w.Topple(n)
-	}
-}
-
 // ---- the end ----
 
 // Close checks the sums.
--- a/internal/lab/scenario/defaults.go
+++ b/internal/lab/scenario/defaults.go
@@ -28,7 +28,7 @@
 		Limits: Limits{Cancel: true, SecondCopies: true, RetryAfter: true, MaxAttempts: 4, MaxRetryAfter: ms(500),
 			ConnectTimeout: ms(75), IdleClose: ms(60_000)},
 		Rules: Rules{Grace: ms(58), DrainGrace: ms(2000), ToldWithin: ms(6000), AskEvery: ms(10_000), ColdFrom: 0.2,
-			ColdFor: ms(20_000), OverloadFactor: 3, FallFor: ms(2000), ColdSlack: 250, OverQuotaWorth: 1,
+			ColdFor: ms(20_000), OverloadFactor: 3, FallFor: ms(2000), OverQuotaWorth: 1,
 			WorthBy: "work"},
 	}
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -275,8 +275,7 @@
 	ColdFor        Duration `json:"cold_for"`
 	OverloadFactor float64  `json:"overload_factor"`
 	FallFor        Duration `json:"fall_for"`
-	ColdSlack      float64  `json:"cold_slack_ms"` // work that chance may add in a window
-	Falls          bool     `json:"falls"`         // a cold app node that is sent too much falls over and stays down
+	Falls          bool     `json:"falls"` // a cold app node that is sent too much falls over and stays down
 	OverQuotaWorth float64  `json:"over_quota_worth"`
 	WorthBy        string   `json:"worth_by"` // work, request
 }
--- a/internal/lab/swarm/draw.go
+++ b/internal/lab/swarm/draw.go
@@ -212,11 +212,6 @@
 		r.ColdFrom = min(r.ColdFrom, sc.Nodes[i].ColdFrom[0])
 		r.ColdFor = max(r.ColdFor, sc.Nodes[i].ColdFor[1])
 	}
-	// Chance adds more to a window where single requests are larger, and no balancer knows which they are: with ten times
-	// the mean a single request broke the rule once in 2,500 days.
-	for i := range sc.Classes {
-		r.ColdSlack = max(r.ColdSlack, 25*sc.Classes[i].Work.Mean[0])
-	}
 	p := &sc.Prices
 	if d.is(0.5) {
 		p.Connection, p.CrossZone, p.Handshake, p.Waste = d.even(0, 0.02), d.even(0, 0.3), d.even(0, 0.05), d.even(0, 0.3)
--- a/internal/lab/zonelab/view.go
+++ b/internal/lab/zonelab/view.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"pewterrudder/internal/lab/oracle"
 	"pewterrudder/internal/lab/scenario"
 	"pewterrudder/internal/lab/virtual"
 	"pewterrudder/internal/lab/world"
@@ -44,6 +45,7 @@
 	lost    func(*world.Op) bool // whether a wish is the lost pool's; nil: there are no pools
 	seconds []second
 	nodes   [][]slice // by node and slice
+	mean    float64   // work of a request, as the classes come
 }
 
 func newView(sc *scenario.Scenario) (*view, error) {
@@ -112,6 +114,7 @@
 // row makes the figures.
 func (v *view) row(rec *virtual.Record) *Row {
 	r := &Row{Broken: rec.Broken}
+	v.mean = rec.Counts.MeanWork
 	from, to := math.Inf(1), 0.0
 	hit := map[int]bool{}
 	for _, e := range rec.Episodes {
@@ -237,8 +240,7 @@
 			continue
 		}
 		if young {
-			rules := &v.sc.Rules
-			cold = max(cold, work/(rules.OverloadFactor*could+rules.ColdSlack))
+			cold = max(cold, work/v.mean/oracle.Bears(v.sc.Rules.OverloadFactor*could/v.mean))
 		} else {
 			warm = max(warm, work/could)
 		}
--- a/internal/lab/zonelab/view_test.go
+++ b/internal/lab/zonelab/view_test.go
@@ -21,15 +21,15 @@
 
 func TestPressureTellsWarmFromCold(t *testing.T) {
 	sc := scenario.Default()
-	sc.Rules.OverloadFactor, sc.Rules.ColdSlack = 3, 0
-	v := &view{sc: &sc, nodes: [][]slice{make([]slice, 40)}}
+	sc.Rules.OverloadFactor = 3
+	v := &view{sc: &sc, mean: 60, nodes: [][]slice{make([]slice, 40)}} // 100 requests allowed in a window, and 22 of chance
 	for i := range v.nodes[0] {
 		v.nodes[0][i] = slice{work: 150, could: 200, cold: i < 15}
 	}
 	v.nodes[0][30].work = 650 // 2000 of 2000 over its window
 	warm, cold := v.pressure(0, 0, 40)
-	if math.Abs(warm-1) > 1e-9 || math.Abs(cold-0.25) > 1e-9 {
-		t.Errorf("pressure %v warm and %v cold, not 1 and 0.25", warm, cold)
+	if math.Abs(warm-1) > 1e-9 || math.Abs(cold-25.0/122) > 1e-9 {
+		t.Errorf("pressure %v warm and %v cold, not 1 and 25 of 122", warm, cold)
 	}
 	if warm, _ := v.pressure(0, 31, 40); warm != 0 {
 		t.Errorf("a window of less than 2 s counts: %v", warm)
