--- a/cmd/pewterrudder/told_test.go
+++ b/cmd/pewterrudder/told_test.go
@@ -44,28 +44,44 @@
 
 func resets(nc net.Conn) { nc.(*net.TCPConn).SetLinger(0) }
 
-// fickle is a discovery that treats so many calls badly and is well from then on.
+// fickle is a discovery that treats some calls badly.
 type fickle struct {
-	t     *testing.T
 	ln    net.Listener
-	bad   []fault // of the calls to come, the first first
-	list  string  // told once it is well
+	list  string                          // that the others are told
+	pick  func(n int, at time.Time) fault // for the n-th call, from 1, that came then; nil: it is told the list
+	each  time.Duration                   // that a call takes; they are taken in turn
+	turn  sync.Mutex
 	mu    sync.Mutex
 	calls int
-	well  chan time.Time // since when
 	kept  []net.Conn
+	well  chan time.Time // since when
 }
 
+// newFickle treats the first calls so, and is well from the moment on in which the last of these has come.
 func newFickle(t *testing.T, addr, list string, bad ...fault) *fickle {
 	t.Helper()
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := &fickle{t: t, ln: ln, bad: bad, list: list, well: make(chan time.Time, 1)}
+	d := &fickle{list: list, well: make(chan time.Time, 1)}
 	if len(bad) == 0 {
 		d.well <- time.Now()
 	}
+	d.pick = func(n int, at time.Time) fault {
+		if n > len(bad) {
+			return nil
+		}
+		if n == len(bad) {
+			d.well <- at
+		}
+		return bad[n-1]
+	}
+	return d.open(t, addr)
+}
+
+func (d *fickle) open(t *testing.T, addr string) *fickle {
+	t.Helper()
+	var err error
+	if d.ln, err = net.Listen("tcp", addr); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(d.down)
 	go d.serve()
 	return d
@@ -106,19 +122,19 @@
 			if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
 				return
 			}
-			if n > len(d.bad) {
-				io.WriteString(nc, head+d.list+"\n")
-				for tick := time.NewTicker(time.Second); ; <-tick.C {
-					if _, err := io.WriteString(nc, "\n"); err != nil {
-						tick.Stop()
-						return
-					}
-				}
+			d.turn.Lock()
+			time.Sleep(d.each)
+			d.turn.Unlock()
+			if spoil := d.pick(n, time.Now()); spoil != nil {
+				spoil(nc)
+				return
 			}
-			if n == len(d.bad) {
-				d.well <- time.Now() // the next call is served, if there is one; this one is still spoilt
+			io.WriteString(nc, head+d.list+"\n")
+			tick := time.NewTicker(time.Second)
+			defer tick.Stop()
+			for err := error(nil); err == nil; <-tick.C {
+				_, err = io.WriteString(nc, "\n")
 			}
-			d.bad[n-1](nc)
 		}()
 	}
 }
@@ -141,6 +157,11 @@
 	return fmt.Sprintf(`{"revision":2,"complete":true,"members":[{"id":"s-2","host_port":%q,"locality":"a","phase":"Ready","size":1}]}`, n.Addr())
 }
 
+// pushed is a configuration in which lists come so: "push" or "ask".
+func pushed(config, how string) string {
+	return strings.Replace(config, `"discovery": "ask"`, `"discovery": "`+how+`"`, 1)
+}
+
 func newInformed(t *testing.T, how, discovery string, change func(*flowrig.Setup)) *informed {
 	t.Helper()
 	s := &stand{t: t}
@@ -156,7 +177,7 @@
 	if change != nil {
 		change(&setup)
 	}
-	w := &informed{stand: s, config: strings.Replace(setup.Config(s.addr), `"discovery": "ask"`, `"discovery": "`+how+`"`, 1)}
+	w := &informed{stand: s, config: pushed(setup.Config(s.addr), how)}
 	s.cmd, s.log = balancer(t, w.config)
 	w.path, _ = strings.CutPrefix(s.cmd.Env[len(s.cmd.Env)-1], "RELAY_CONFIG=")
 	s.started()
