Have a change of the list cost itself in the module, whatever the fleet's size

Cause: onFleet went through the whole fleet at every update, each server's state a miss of the cache, to find those that are gone. Ruled out: the reducer's part, which is a look at one entry; the sample, which has a dozen.

Change: servers are numbered as they come, which is the fleet's order, so that those that leave are found by halving and what stays between them moves up in one piece. An update without a departure touches nobody else.

One case differs and is mended: a server that an update names as gone and then as there stood in the fleet twice.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -82,7 +82,6 @@
 	Member
 	size      float64 // relative capacity
 	tie       uint32  // breaks ties; differs between nodes
-	listed    int     // epoch of the last full list that named it
 	inSample  bool
 	figure    float64 // what the table is ranked by
 	slow      float64 // answer time relative to the class mean, smoothed
@@ -99,6 +98,8 @@
 	cold      float64 // tokens of a cold server, as of coldAt
 	answers   float64 // since the last ranking
 
+	listed, serial int // epoch of the last full list that named it; by which the fleet is ordered
+
 	reportAt, ownAt, coldAt, probedAt time.Duration
 }
 
@@ -150,12 +151,13 @@
 	tenants []float64 // decayed arrivals of each
 	anySafe bool
 
-	byID     map[string]*server
-	fleet    []*server // ready or draining, in order of arrival
-	fresh    []*server // new to the list since the sample was last looked at
-	epoch    int
-	kinds    map[string]float64 // largest weight seen of a kind, for live weights
-	askArmed bool
+	byID       map[string]*server
+	fleet      []*server          // ready or draining, in order of arrival
+	fresh      []*server          // new to the list since the sample was last looked at
+	left       []*server          // gone by the update under way
+	epoch, met int                // full lists; servers ever met
+	kinds      map[string]float64 // largest weight seen of a kind, for live weights
+	askArmed   bool
 
 	rank               []*server // the sample, lowest figure first
 	scratch            []*server
@@ -296,17 +298,20 @@
 	if whole {
 		for _, s := range n.fleet {
 			if s.listed != n.epoch {
-				s.State = Gone
+				s.State, n.left = Gone, append(n.left, s)
 			}
 		}
 	}
-	n.fleet = slices.DeleteFunc(n.fleet, func(s *server) bool {
-		if s.State == Gone { // forgotten: on a long day most servers ever listed are
-			delete(n.byID, s.Server)
+	order := func(a, b *server) int { return a.serial - b.serial }
+	slices.SortFunc(n.left, order)
+	to, from := 0, 0 // what stays between two that go moves up together
+	for _, s := range n.left {
+		if at, ok := slices.BinarySearchFunc(n.fleet[from:], s, order); ok && s.State == Gone {
+			to, from = to+copy(n.fleet[to:], n.fleet[from:from+at]), from+at+1
+			delete(n.byID, s.Server) // forgotten: on a long day most servers ever listed are
 		}
-		return s.State == Gone
-	})
-	n.ring = nil
+	}
+	n.fleet, n.left, n.ring = slices.Delete(n.fleet, to, from), nil, nil
 	n.rerank()
 	n.retryParked()
 }
@@ -317,14 +322,12 @@
 		return
 	}
 	if s == nil {
-		s = &server{Member: *m, tie: n.rng.Uint32(), slow: 1}
-		s.State = Gone // until entered below
-		n.byID[m.Server] = s
+		n.met++
+		s = &server{Member: *m, serial: n.met, tie: n.rng.Uint32(), slow: 1}
+		n.byID[m.Server], n.fleet, n.fresh = s, append(n.fleet, s), append(n.fresh, s)
 		n.resetServer(s)
-	}
-	if s.State == Gone && m.State != Gone {
-		n.fleet = append(n.fleet, s)
-		n.fresh = append(n.fresh, s)
+	} else if m.State == Gone {
+		n.left = append(n.left, s)
 	}
 	if m.Started != s.Started { // a restart under the same id: nothing known of the old process holds
 		n.resetServer(s)
@@ -557,12 +560,6 @@
 
 // ---- burst detector ----
 
-// noteArrival keeps the last 2m+1 arrival times.
-func (n *Node) noteArrival() {
-	n.arrivals[n.arrived%len(n.arrivals)] = n.now
-	n.arrived++
-}
-
 // detect toggles the burst state: I past the trip level with rising arrivals is a burst, with falling ones
 // its end. The last m intervals count, or 2m where m of them are too short a time to show a change of rate.
 func (n *Node) detect() {
@@ -763,7 +760,8 @@
 	if n.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(n.classes) {
 		return
 	}
-	n.noteArrival()
+	n.arrivals[n.arrived%len(n.arrivals)] = n.now // the last 2m+1 are kept
+	n.arrived++
 	if e.Tenant >= 0 && e.Tenant < len(n.tenants) {
 		n.tenants[e.Tenant]++
 	}
