--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -78,21 +78,30 @@
 		names = append(names, p.Name)
 	}
 	rules := make([]routes.Rule, len(s.Routes))
-	for i, r := range s.Routes {
-		rules[i] = routes.Rule{Name: r.Name, Host: r.Host, Prefix: r.Path, Methods: r.Methods, Class: r.Class}
-		switch {
-		case (r.Pool != "") == (r.Split != nil):
-			return nil, fmt.Errorf("routes[%d]: either pool or split says where it leads", i)
-		case r.Pool != "":
-			rules[i].To = []routes.Share{{Pool: r.Pool, Weight: 1}}
-		}
-		for _, p := range r.Split {
-			rules[i].To = append(rules[i].To, routes.Share(p))
+	for i := range s.Routes {
+		var err error
+		if rules[i], err = s.Routes[i].Rule(); err != nil {
+			return nil, fmt.Errorf("routes[%d]: %w", i, err)
 		}
 	}
 	return routes.Compile(rules, names, classes)
 }
 
+// Rule gives a route the form that is compiled, and checks no more than whether it says where it leads.
+func (r *Route) Rule() (routes.Rule, error) {
+	rule := routes.Rule{Name: r.Name, Host: r.Host, Prefix: r.Path, Methods: r.Methods, Class: r.Class}
+	switch {
+	case (r.Pool != "") == (r.Split != nil):
+		return rule, errors.New("either pool or split says where it leads")
+	case r.Pool != "":
+		rule.To = []routes.Share{{Pool: r.Pool, Weight: 1}}
+	}
+	for _, p := range r.Split {
+		rule.To = append(rule.To, routes.Share(p))
+	}
+	return rule, nil
+}
+
 // checkRoutes finds pools that cannot be, and those that no call comes to.
 func (s *Service) checkRoutes() error {
 	if len(s.Pools) > mostPools {
@@ -110,11 +119,8 @@
 			return fmt.Errorf("%s: pools[%d] has the same name", at, other)
 		}
 		places[p.Name] = i
-		if p.MaxOpen < 0 {
-			return fmt.Errorf("%s: max_open: %d is negative", at, p.MaxOpen)
-		}
-		if err := p.Members.check(); err != nil {
-			return fmt.Errorf("%s: members.%w", at, err)
+		if err := p.check(); err != nil {
+			return fmt.Errorf("%s: %w", at, err)
 		}
 		if p.Default {
 			if fallback >= 0 {
@@ -152,6 +158,16 @@
 	return nil
 }
 
+func (p *Pool) check() error {
+	if p.MaxOpen < 0 {
+		return fmt.Errorf("max_open: %d is negative", p.MaxOpen)
+	}
+	if err := p.Members.check(); err != nil {
+		return fmt.Errorf("members.%w", err)
+	}
+	return nil
+}
+
 func (m *Members) check() error {
 	for _, k := range []struct {
 		key      string
--- a/internal/routes/claim.go
+++ b/internal/routes/claim.go
@@ -53,6 +53,9 @@
 	return cmp.Or(cmp.Compare(c.Revision, d.Revision), cmp.Compare(c.Key, d.Key))
 }
 
+// Place names the host and path of a claim: none of another place matches the same calls with equal precedence.
+func (c *Claim) Place() string { return string(rune('0'+c.kind)) + c.domain + c.Prefix }
+
 // String is what the claim matches, in words.
 func (c *Claim) String() string { return c.wants() }
 
