--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -180,9 +180,9 @@
 	delete(c.why, key)
 	switch kind, name := split(key); kind {
 	case routeKey:
-		c.removeRoute(key, name, ch)
+		c.removeRoute(name, ch)
 	case poolKey:
-		c.removePool(key, name, ch)
+		c.removePool(name, ch)
 	case tenantKey:
 		c.removeTenant(key, name)
 	}
--- a/internal/catalog/pool.go
+++ b/internal/catalog/pool.go
@@ -13,42 +13,37 @@
 
 // pool is what is said of one name.
 type pool struct {
-	key  string
-	file *config.Pool // nil: the files do not say
-	told *config.Pool // the store's last good value; nil: it does not say
-	at   word         // of told
+	said[config.Pool]
 	now  *config.Pool // that is in force
 	rank rank
 	in   bool // in force, under an ID
 	id   int
 }
 
-func (c *Catalog) putPool(key, name string, value []byte, said word, ch *Changes) error {
+func (c *Catalog) putPool(key, name string, value []byte, now word, ch *Changes) error {
 	told, err := config.DecodePool(value, name)
 	if err != nil {
 		return err
 	}
 	p := c.poolOf(key, name)
-	c.count(key, p.at, said)
-	p.told, p.at = &told, said
+	p.tell(c, &told, now)
 	c.settle(name, p, ch)
 	return nil
 }
 
-func (c *Catalog) removePool(key, name string, ch *Changes) {
+func (c *Catalog) removePool(name string, ch *Changes) {
 	p := c.pools[name]
 	if p == nil {
 		return
 	}
-	c.count(key, p.at, word{})
-	p.told, p.at = nil, word{}
+	p.tell(c, nil, word{})
 	c.settle(name, p, ch)
 }
 
 func (c *Catalog) poolOf(key, name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{key: key}
+		p = &pool{said: said[config.Pool]{key: key}}
 		c.pools[name] = p
 	}
 	return p
@@ -56,10 +51,7 @@
 
 // settle puts in force what a name is to be, and the routes that have waited for it, or leaves them waiting.
 func (c *Catalog) settle(name string, p *pool, ch *Changes) {
-	want := p.file
-	if p.told != nil {
-		want = p.told
-	}
+	want := p.wanted()
 	if p.in {
 		at, _ := slices.BinarySearchFunc(c.order, p, (*pool).compare)
 		c.order = slices.Delete(c.order, at, at+1)
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -10,10 +10,7 @@
 
 // route is what is said of one name.
 type route struct {
-	key      string
-	file     *routes.Claim // nil: the files do not say
-	told     *routes.Claim // the store's last good value; nil: it does not say
-	at       word          // of told
+	said[routes.Claim]
 	in       *routes.Claim // that is in the tree, with the places of its pools
 	named    *routes.Claim // whose pools know of it
 	resolved bool
@@ -35,28 +32,26 @@
 	return routes.NewClaim(rule, key, revision, c.classes)
 }
 
-func (c *Catalog) putRoute(key, name string, value []byte, said word, ch *Changes) error {
-	claim, err := c.claim(key, name, value, said.revision)
+func (c *Catalog) putRoute(key, name string, value []byte, now word, ch *Changes) error {
+	claim, err := c.claim(key, name, value, now.revision)
 	if err != nil {
 		return err
 	}
 	r := c.routeOf(key, name)
-	c.count(key, r.at, said)
-	r.told, r.at = claim, said
+	r.tell(c, claim, now)
 	c.place(r, ch)
 	if !r.resolved {
-		ch.say(fmt.Sprintf("%s of revision %d waits for pool %q", key, said.revision, c.missing(r)))
+		ch.say(fmt.Sprintf("%s of revision %d waits for pool %q", key, now.revision, c.missing(r)))
 	}
 	return nil
 }
 
-func (c *Catalog) removeRoute(key, name string, ch *Changes) {
+func (c *Catalog) removeRoute(name string, ch *Changes) {
 	r := c.routes[name]
 	if r == nil {
 		return
 	}
-	c.count(key, r.at, word{})
-	r.told, r.at = nil, word{}
+	r.tell(c, nil, word{})
 	c.place(r, ch)
 	c.dropRoute(name, r)
 }
@@ -64,7 +59,7 @@
 func (c *Catalog) routeOf(key, name string) *route {
 	r := c.routes[name]
 	if r == nil {
-		r = &route{key: key}
+		r = &route{said: said[routes.Claim]{key: key}}
 		c.routes[name] = r
 	}
 	return r
@@ -77,14 +72,6 @@
 	}
 }
 
-// wanted is what a name is to be.
-func (r *route) wanted() *routes.Claim {
-	if r.told != nil {
-		return r.told
-	}
-	return r.file
-}
-
 // place has the tree hold a route as it is wanted, where its pools are.
 func (c *Catalog) place(r *route, ch *Changes) {
 	if r.in != nil {
