--- a/internal/registry/kv/attempts.go
+++ b/internal/registry/kv/attempts.go
@@ -79,11 +79,14 @@
 // broke tells a failure at an endpoint.
 func (c *Client) broke(at *endpoint, err error) {
 	c.pause(&c.failures)
+	if c.sparse != nil {
+		c.due = time.Now().Add(c.within(spread / time.Duration(len(c.endpoints))))
+	}
 	c.resumed = true
 	if errors.As(err, new(cut)) {
 		c.cuts++
 	}
-	c.sink.Broke(fmt.Errorf("%s: %w", at.url, err))
+	c.health.Broke(fmt.Errorf("%s: %w", at.url, err))
 }
 
 // choose the endpoint of the next attempt: of those that are asked already the least, then none that is left alone, then
