Give the catalog its settings, and look again at routes refused for their class

The check of a store's addresses is the roster's, said once.

A route that names a class which calls do not have was refused for good, also when the settings brought that class later. The catalog keeps the values of refused entries, up to 64 and 4 KB each, and puts them to the test again with new classes. What the files grant to a tenant of whom the store speaks is kept with the mark of its reading, so that the next reading of the files can tell it from what an older one left.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,6 +25,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -55,7 +56,7 @@
 type Catalog struct {
 	classes []string
 	tenants *tenants.Table
-	under   map[string]tenants.Terms // what the files grant to tenants of whom the store speaks
+	under   map[string]granted // by the files, to tenants of whom the store speaks
 
 	routes   map[string]*route
 	pools    map[string]*pool
@@ -68,7 +69,7 @@
 	lacking  map[*route]struct{}     // routes that name a pool which is not there
 
 	refused  map[string]word
-	why      map[string]string // of some that are refused
+	why      map[string]reason // of some that are refused
 	gone     removed
 	held     int // keys of the store
 	revision int64
@@ -83,12 +84,29 @@
 
 // New makes a catalog without entries, that fills a table of tenants. classes are all that calls can have.
 func New(classes []string, table *tenants.Table) *Catalog {
-	return &Catalog{classes: classes, tenants: table, under: map[string]tenants.Terms{}, routes: map[string]*route{},
+	return &Catalog{classes: classes, tenants: table, under: map[string]granted{}, routes: map[string]*route{},
 		pools: map[string]*pool{}, users: map[string]map[*route]struct{}{}, shadowed: map[string][]routes.Tie{},
-		lost: map[string]bool{}, lacking: map[*route]struct{}{}, refused: map[string]word{}, why: map[string]string{},
+		lost: map[string]bool{}, lacking: map[*route]struct{}{}, refused: map[string]word{}, why: map[string]reason{},
 		gone: removed{at: map[string]int64{}}}
 }
 
+// Classes has calls be of other classes from now on. Routes that were refused are looked at again, as far as their values
+// are kept; another waits until the store tells it anew. Those accepted stay, and match no call of a class that is gone.
+func (c *Catalog) Classes(classes []string) Changes {
+	var ch Changes
+	c.classes = classes
+	for _, key := range slices.Sorted(maps.Keys(c.why)) {
+		if kind, _ := split(key); kind == routeKey && c.why[key].value != nil {
+			w := c.refused[key]
+			if c.put(key, c.why[key].value, w, &ch) == nil {
+				delete(c.refused, key)
+				delete(c.why, key)
+			}
+		}
+	}
+	return ch
+}
+
 // Changes are what a call of the catalog has come to.
 type Changes struct {
 	Pools  []PoolChange // in their order
@@ -149,7 +167,7 @@
 			c.held++
 		}
 		if err := c.put(r.Key, r.Value, said, ch); err != nil {
-			c.refuse(r.Key, said, err, ch)
+			c.refuse(r, said, err, ch)
 		} else if len(c.refused) > 0 {
 			delete(c.refused, r.Key)
 			delete(c.why, r.Key)
--- a/internal/catalog/flaws.go
+++ b/internal/catalog/flaws.go
@@ -20,20 +20,32 @@
 // mostNamed bounds what is kept of reasons, and what a list of flaws names of each kind.
 const mostNamed = 64
 
-func (c *Catalog) refuse(key string, said word, err error, ch *Changes) {
-	c.refused[key] = said
-	why := fmt.Sprintf("%.200q of revision %d is refused: %.300v", key, said.revision, err)
-	if _, ok := c.why[key]; ok || len(c.why) < mostNamed {
-		c.why[key] = why
+// mostKept is the longest value that is kept of a refused entry: an ordinary one has some hundred bytes.
+const mostKept = 4096
+
+// reason of a refusal.
+type reason struct {
+	text  string
+	value []byte // nil: too long
+}
+
+func (c *Catalog) refuse(r *Record, said word, err error, ch *Changes) {
+	c.refused[r.Key] = said
+	why := reason{text: fmt.Sprintf("%.200q of revision %d is refused: %.300v", r.Key, said.revision, err)}
+	if len(r.Value) <= mostKept {
+		why.value = slices.Clone(r.Value)
+	}
+	if _, ok := c.why[r.Key]; ok || len(c.why) < mostNamed {
+		c.why[r.Key] = why
 	}
-	ch.say(why)
+	ch.say(why.text)
 }
 
 // Flaws gives what is not in force now.
 func (c *Catalog) Flaws() Flaws {
 	f := Flaws{Refused: len(c.refused), Unresolved: len(c.lacking), Shadowed: len(c.lost)}
 	for _, key := range slices.Sorted(maps.Keys(c.why)) {
-		f.Named = append(f.Named, c.why[key])
+		f.Named = append(f.Named, c.why[key].text)
 	}
 	var some []string
 	for r := range c.lacking {
--- a/internal/catalog/model_test.go
+++ b/internal/catalog/model_test.go
@@ -431,7 +431,7 @@
 				name := fmt.Sprint("t", i)
 				if rapid.Bool().Draw(t, name) {
 					w.fileTerms[name] = tenants.Terms{Quota: float64(100 * rapid.IntRange(1, 5).Draw(t, "quota"))}
-					b.catalog.Grant(name, w.fileTerms[name])
+					b.catalog.Grant(name, w.fileTerms[name], 7)
 				} else if _, ok := w.fileTerms[name]; ok {
 					delete(w.fileTerms, name)
 					b.catalog.Revoke(name)
--- a/internal/catalog/tenant.go
+++ b/internal/catalog/tenant.go
@@ -5,9 +5,16 @@
 	"pewterrudder/internal/tenants"
 )
 
-// A tenant's word lies in the table; here is only what the files grant to those of whom the store speaks as well.
+// A tenant's word lies in the table, those of the files with revision 0; here is only what the files grant to those of whom
+// the store speaks as well.
 
-func (c *Catalog) putTenant(key, name string, value []byte, said word) error {
+// granted is what the files say of a tenant, with the mark that their reading leaves in the table in place of a sum.
+type granted struct {
+	tenants.Terms
+	mark uint32
+}
+
+func (c *Catalog) putTenant(key, name string, value []byte, now word) error {
 	quota, share, err := config.DecodeTenant(value, name)
 	if err != nil {
 		return err
@@ -15,10 +22,10 @@
 	revision, sum, ok := c.tenants.At(name)
 	if ok && revision == 0 {
 		had, _ := c.tenants.Find(name)
-		c.under[name] = had.Terms
+		c.under[name] = granted{had.Terms, sum}
 	}
-	c.count(key, word{revision, sum}, said)
-	c.tenants.Put(name, tenants.Terms{Quota: quota, Share: share}, said.revision, said.sum)
+	c.count(key, word{revision, sum}, now)
+	c.tenants.Put(name, tenants.Terms{Quota: quota, Share: share}, now.revision, now.sum)
 	return nil
 }
 
@@ -28,8 +35,8 @@
 		return // the files'
 	}
 	c.count(key, word{revision, sum}, word{})
-	if terms, ok := c.under[name]; ok {
-		c.tenants.Put(name, terms, 0, 0)
+	if g, ok := c.under[name]; ok {
+		c.tenants.Put(name, g.Terms, 0, g.mark)
 		delete(c.under, name)
 		return
 	}
@@ -37,12 +44,12 @@
 }
 
 // Grant takes what the files say of a tenant.
-func (c *Catalog) Grant(name string, t tenants.Terms) {
+func (c *Catalog) Grant(name string, t tenants.Terms, mark uint32) {
 	if revision, _, ok := c.tenants.At(name); ok && revision > 0 {
-		c.under[name] = t
+		c.under[name] = granted{t, mark}
 		return
 	}
-	c.tenants.Put(name, t, 0, 0)
+	c.tenants.Put(name, t, 0, mark)
 }
 
 // Revoke takes back what the files said of a tenant.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -351,6 +351,7 @@
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"control", c.Control == next.Control}, {"limits", c.Limits == next.Limits},
 		{"flow, in the settings file,", c.Service.Flow == next.Service.Flow},
 		{"roster, in the settings file,", reflect.DeepEqual(c.Service.Roster, next.Service.Roster)},
+		{"catalog, in the settings file,", reflect.DeepEqual(c.Service.Catalog, next.Service.Catalog)},
 		{"box, in the settings file,", c.Service.Box == next.Service.Box}} {
 		if !k.same {
 			keys = append(keys, k.name)
--- a/internal/config/roster.go
+++ b/internal/config/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/url"
 	"strings"
 	"time"
 
@@ -170,11 +169,8 @@
 	if s.Kind != Discovery && len(s.Addresses) == 0 {
 		return fmt.Errorf("%saddresses: a source of kind %s needs one", at, s.Kind)
 	}
-	for i, a := range s.Addresses {
-		u, err := url.Parse(a)
-		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-			return fmt.Errorf("%saddresses[%d]: %q is no URL of the form http://HOST:PORT", at, i, a)
-		}
+	if err := checkURLs(at, s.Addresses); err != nil {
+		return err
 	}
 	switch {
 	case s.Kind != Eureka && len(s.Apps) > 0:
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -17,13 +17,14 @@
 // Service is what an installation sets for itself, beside what its platform tells it: a file of JSON with comments,
 // every key of which may be left out. deploy/settings.json shows them all with their defaults.
 type Service struct {
-	Flow   Flow    `json:"flow"`
-	Routes []Route `json:"routes"` // none: every call goes to the default pool
-	Pools  []Pool  `json:"pools"`  // none: one, with every app node
-	Zones  Zones   `json:"zones"`  // of every pool
-	Roster Roster  `json:"roster"`
-	Box    Box     `json:"box"`
-	Peers  Peers   `json:"peers"` // the other balancers
+	Flow    Flow    `json:"flow"`
+	Routes  []Route `json:"routes"` // none: every call goes to the default pool
+	Pools   []Pool  `json:"pools"`  // none: one, with every app node
+	Zones   Zones   `json:"zones"`  // of every pool
+	Roster  Roster  `json:"roster"`
+	Catalog Catalog `json:"catalog"` // what is told of routes, pools and tenants beside the files
+	Box     Box     `json:"box"`
+	Peers   Peers   `json:"peers"` // the other balancers
 }
 
 // Box is what makes the program an appliance: operators' edits are held in a folder, and asked for over a socket in it.
@@ -44,7 +45,7 @@
 // DefaultService is in force where no file says otherwise. Bodies of up to 32 MB pass both ways, since the platform has
 // them, by peers that stop for seconds.
 func DefaultService() Service {
-	return Service{Roster: defaultRoster(), Peers: defaultPeers(), Flow: Flow{
+	return Service{Roster: defaultRoster(), Catalog: Catalog{Addresses: []string{}}, Peers: defaultPeers(), Flow: Flow{
 		MaxAnswerBytes: 40 << 20, // what says that it has gigabytes is broken
 		MaxUploadBytes: 40 << 20, // and 60 MB are no client's of ours
 		MemoryShare:    0.1875,   // 6 MiB of the smallest machine's 32: 96 slow clients, 48 answers at their beginning
@@ -116,6 +117,9 @@
 	if err := s.Zones.check(); err != nil {
 		return err
 	}
+	if err := s.Catalog.check(); err != nil {
+		return err
+	}
 	if err := s.Peers.check(); err != nil {
 		return err
 	}
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -19,7 +19,7 @@
 	if err := s.read(raw); err != nil || !reflect.DeepEqual(s, DefaultService()) {
 		t.Errorf("%+v, %v; the defaults are %+v", s, err, DefaultService())
 	}
-	for _, section := range []any{Service{}, Route{}, Share{}, Pool{}, Members{}, Zones{}, Box{}} { // those of lists that are empty are shown in comments
+	for _, section := range []any{Service{}, Route{}, Share{}, Pool{}, Members{}, Zones{}, Catalog{}, Box{}} { // those of lists that are empty are shown in comments
 		for k := range reflect.TypeOf(section).Fields() {
 			if key := `"` + k.Tag.Get("json") + `":`; !strings.Contains(string(raw), key) {
 				t.Errorf("%s of %T is not shown", key, section)
@@ -48,21 +48,24 @@
 
 func TestAFaultInTheSettingsFileIsNamed(t *testing.T) {
 	for text, want := range map[string]string{
-		`{"flow": {"max_answer_bytes": 65535}}`:         "flow.max_answer_bytes",
-		`{"flow": {"max_upload_bytes": -1}}`:            "flow.max_upload_bytes",
-		`{"flow": {"memory_share": 0}}`:                 "flow.memory_share",
-		`{"flow": {"memory_share": 0.6}}`:               "flow.memory_share",
-		`{"flow": {"wait_ms": -1}}`:                     "flow.wait_ms",
-		`{"flow": {"stall_ms": 1e9}}`:                   "flow.stall_ms",
-		`{"flow": {"client_idle_ms": 0}}`:               "flow.client_idle_ms",
-		`{"flow": {"wait_ms": "long"}}`:                 "flow.wait_ms",
-		`{"flow": {"stalls_ms": 1}}`:                    "stalls_ms",
-		`{"flow": {`:                                    "line 1",
-		`{"zones": {"tiers": [["a"]]}}`:                 "zones.tiers",
-		`{"zones": {"names": ["a", "a"]}}`:              "zones.names[1]",
-		`{"zones": {"names": ["a"], "tiers": [["b"]]}}`: "zones.tiers[0]",
-		`{"zones": {"names": ["a"], "fill": 7}}`:        "zones.fill",
-		`{"zones": {"names": ["a"], "silent_ms": 1}}`:   "zones.silent_ms",
+		`{"flow": {"max_answer_bytes": 65535}}`:                "flow.max_answer_bytes",
+		`{"flow": {"max_upload_bytes": -1}}`:                   "flow.max_upload_bytes",
+		`{"flow": {"memory_share": 0}}`:                        "flow.memory_share",
+		`{"flow": {"memory_share": 0.6}}`:                      "flow.memory_share",
+		`{"flow": {"wait_ms": -1}}`:                            "flow.wait_ms",
+		`{"flow": {"stall_ms": 1e9}}`:                          "flow.stall_ms",
+		`{"flow": {"client_idle_ms": 0}}`:                      "flow.client_idle_ms",
+		`{"flow": {"wait_ms": "long"}}`:                        "flow.wait_ms",
+		`{"catalog": {"addresses": ["http://a:1"]}}`:           "catalog.prefix: a store needs one",
+		`{"catalog": {"prefix": "/a/"}}`:                       "catalog.addresses: there are none",
+		`{"catalog": {"addresses": ["a:1"], "prefix": "/a/"}}`: "catalog.addresses[0]: \"a:1\" is no URL",
+		`{"flow": {"stalls_ms": 1}}`:                           "stalls_ms",
+		`{"flow": {`:                                           "line 1",
+		`{"zones": {"tiers": [["a"]]}}`:                        "zones.tiers",
+		`{"zones": {"names": ["a", "a"]}}`:                     "zones.names[1]",
+		`{"zones": {"names": ["a"], "tiers": [["b"]]}}`:        "zones.tiers[0]",
+		`{"zones": {"names": ["a"], "fill": 7}}`:               "zones.fill",
+		`{"zones": {"names": ["a"], "silent_ms": 1}}`:          "zones.silent_ms",
 	} {
 		path := filepath.Join(t.TempDir(), "settings.json")
 		os.WriteFile(path, []byte(text), 0o600)
