Measure the slopes of lists, settings, calls, crowds and stores on the real program

rudderlab capacity starts the program with installations of several sizes against a discovery and a store on loopback, takes processor time and VmHWM off the process, and hands the points to internal/lab/capacity's lines. flowrig starts a program with any text of configuration and no longer waits for one that has ended: a refused start took its whole patience, 60.02 s in the new test without the change, where it was seen to fail. A busy machine's own latency (calls without the balancer) is told apart from what the balancer adds, and then nothing is said of that; the test for it was seen to fail with the rule left out (kept in place of not measured).

--- /dev/null
+++ b/internal/lab/capacity/balancers.go
@@ -0,0 +1,302 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"pewterrudder/internal/lab/scale"
+	"pewterrudder/internal/routes"
+)
+
+// The sizes that are run. The largest are the coming ones, so that no line has to reach beyond its points there.
+var (
+	listSizes   = []int{2000, 8000, 16_000, 26_000}
+	burstSizes  = []int{100, 1000, 2900}
+	changeSizes = []int{10, 20, 40}
+	routeSizes  = []int{60, 2500, 5000, 10_000}
+	poolSizes   = []int{1, 16, 60, 200, 550}
+	tenantSizes = []int{0, 30_000, 100_000, 300_000}
+	// fewPools are what routes are measured with: as many as today's program takes, nearly.
+	fewPools = 60
+)
+
+func (o *Options) balancer(nodes int, n installation) (b *balancer, d *listing, end func(), err error) {
+	if d, err = newListing(nodes, n.pools); err != nil {
+		return nil, nil, nil, err
+	}
+	n.nodes, n.discovery = nodes, d.address()
+	if b, err = start(o.Balancer, n); err != nil {
+		d.close()
+		return nil, nil, nil, err
+	}
+	return b, d, func() { b.Stop(); d.close() }, nil
+}
+
+// measureList has discovery tell lists to one process each.
+func measureList(ctx context.Context, o *Options, _ *Results) ([]*Slope, error) {
+	const x = "app nodes"
+	memory := &Slope{Name: "list.memory", What: "the most resident once the list is taken up", X: x, Unit: "MB"}
+	started := &Slope{Name: "list.start_cpu", What: "processor time of the start", X: x, Unit: "ms"}
+	idle := &Slope{Name: "list.idle", What: "processor time at rest", X: x, Unit: "ms/s"}
+	again := &Slope{Name: "list.whole_cpu", What: "the whole list told anew, nothing else", X: x, Unit: "ms"}
+	peak := &Slope{Name: "list.whole_peak", What: "the most resident while it is taken up", X: x, Unit: "MB"}
+	bytes := &Slope{Name: "list.bytes", What: "a line of discovery's, as a chunk", X: "entries", Unit: "B"}
+	single := &Slope{Name: "list.change_cpu", What: "changes of one entry each", X: "changes", Unit: "us"}
+	burst := &Slope{Name: "list.burst_cpu", What: "one line with so many changes", X: "entries", Unit: "ms"}
+	all := []*Slope{memory, started, idle, again, peak, bytes, single, burst}
+	for _, n := range listSizes {
+		if err := ctx.Err(); err != nil {
+			return all, err
+		}
+		err := func() error {
+			b, d, end, err := o.balancer(n, installation{})
+			if err != nil {
+				return err
+			}
+			defer end()
+			x := float64(n)
+			took, err := b.CPU()
+			if err != nil {
+				return err
+			}
+			started.add(x, ms(took))
+			idle.add(x, msPerSecond(b.rest))
+			most, err := b.peak()
+			if err != nil {
+				return err
+			}
+			memory.add(x, most)
+			bytes.add(x, float64(d.whole))
+			if err := b.ForgetPeak(); err != nil {
+				return err
+			}
+			if took, err = b.spent(func() error { d.again(); return nil }); err != nil {
+				return err
+			}
+			again.add(x, ms(took))
+			if most, err = b.peak(); err != nil {
+				return err
+			}
+			peak.add(x, most)
+			if n != listSizes[len(listSizes)-1] {
+				return nil
+			}
+			for _, changes := range changeSizes {
+				if took, err = b.spent(func() error {
+					for i := range changes {
+						one, _ := d.change(i, i+1, true)
+						if i == 0 && changes == changeSizes[0] {
+							bytes.add(1, float64(one))
+						}
+						time.Sleep(2 * time.Millisecond) // they come one by one
+					}
+					return nil
+				}); err != nil {
+					return err
+				}
+				single.add(float64(changes), us(took))
+				d.change(0, changes, false)
+				if err := b.settle(); err != nil {
+					return err
+				}
+			}
+			for _, entries := range burstSizes {
+				line := 0
+				if took, err = b.spent(func() error { line, _ = d.change(0, entries, true); return nil }); err != nil {
+					return err
+				}
+				burst.add(float64(entries), ms(took))
+				bytes.add(float64(entries), float64(line))
+				d.change(0, entries, false)
+				if err := b.settle(); err != nil {
+					return err
+				}
+			}
+			return nil
+		}()
+		if err != nil {
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+// reducerBudget is a short form of the scale table.
+var reducerBudget = scale.Budget{Sizes: []int{1000, 8000, 26_000}, Changes: 30, Lists: 4, Calls: 2000, Most: 2 * time.Second}
+
+// measureReducer times the one goroutine that decides.
+func measureReducer(context.Context, *Options, *Results) ([]*Slope, error) {
+	const x = "app nodes"
+	change := &Slope{Name: "reducer.change", What: "a change of one entry, median", X: x, Unit: "us"}
+	full := &Slope{Name: "reducer.full", What: "a whole list that says what is known, median", X: x, Unit: "ms"}
+	block := &Slope{Name: "reducer.block", What: "the longest event of a list with half its entries replaced, median", X: x, Unit: "ms"}
+	request := &Slope{Name: "reducer.call", What: "a call with all its events", X: x, Unit: "us"}
+	memory := &Slope{Name: "reducer.memory", What: "heap for the list", X: x, Unit: "MB"}
+	all := []*Slope{change, full, block, request, memory}
+	r, err := scale.Run(reducerBudget, nil)
+	if err != nil {
+		return all, err
+	}
+	for _, row := range r.Rows {
+		n := float64(row.Nodes)
+		change.add(n, row.ChangeUs)
+		full.add(n, row.FullMs)
+		block.add(n, row.LongestBlockMs)
+		request.add(n, row.RequestUs)
+		memory.add(n, row.BytesPerNode*n/megabyte)
+	}
+	return all, nil
+}
+
+// measureSettings starts a process with so many of one thing each, and has it reload with one of them changed.
+func measureSettings(ctx context.Context, o *Options, r *Results) ([]*Slope, error) {
+	var all []*Slope
+	for _, k := range []struct {
+		name  string
+		sizes []int
+		nodes int
+		at    func(n int) installation
+	}{
+		{"routes", routeSizes, fewPools, func(n int) installation { return installation{pools: fewPools, routes: n} }},
+		{"pools", poolSizes, o.Site.Nodes, func(n int) installation { return installation{pools: n, routes: 2 * n} }},
+		{"tenants", tenantSizes, 1, func(n int) installation { return installation{tenants: n} }},
+	} {
+		memory := &Slope{Name: k.name + ".memory", What: "the most resident after a start", X: k.name, Unit: "MB"}
+		started := &Slope{Name: k.name + ".start_cpu", What: "processor time of the start", X: k.name, Unit: "ms"}
+		idle := &Slope{Name: k.name + ".idle", What: "processor time at rest", X: k.name, Unit: "ms/s"}
+		reload := &Slope{Name: k.name + ".reload_cpu", What: "a reload with one changed", X: k.name, Unit: "ms"}
+		peak := &Slope{Name: k.name + ".reload_peak", What: "the most resident in a reload", X: k.name, Unit: "MB"}
+		own := []*Slope{memory, started, idle, reload, peak}
+		all = append(all, own...)
+		probe := Probe{Name: k.name, Taken: true}
+		for _, n := range k.sizes {
+			if err := ctx.Err(); err != nil {
+				return all, err
+			}
+			err := func() error {
+				b, _, end, err := o.balancer(k.nodes, k.at(n))
+				if err != nil {
+					return err
+				}
+				defer end()
+				took, err := b.CPU()
+				if err != nil {
+					return err
+				}
+				most, err := b.peak()
+				if err != nil {
+					return err
+				}
+				x := float64(n)
+				memory.add(x, most)
+				started.add(x, ms(took))
+				idle.add(x, msPerSecond(b.rest))
+				took, most, err = b.reload()
+				if err != nil {
+					return err
+				}
+				reload.add(x, ms(took))
+				peak.add(x, most)
+				return nil
+			}()
+			if err != nil { // the program does not take so many: the next ones neither
+				probe.Taken, probe.Why = false, refusal(err)
+				for _, s := range own {
+					s.Refused = fmt.Sprintf("%d %s: %s", n, k.name, probe.Why)
+				}
+				break
+			}
+		}
+		r.Probes = append(r.Probes, probe)
+	}
+	match, err := measureMatch()
+	return append(all, match), err
+}
+
+// matches are calls that are looked up for one figure.
+const matches = 200_000
+
+// measureMatch looks calls up in tables of routes.
+func measureMatch() (*Slope, error) {
+	s := &Slope{Name: "routes.match", What: "a call's route found", X: "routes", Unit: "ns"}
+	var pools []string
+	for i := range fewPools {
+		pools = append(pools, poolName(i))
+	}
+	for _, n := range routeSizes {
+		var rules []routes.Rule
+		var hosts, paths []string
+		for i := range n {
+			r := installation{pools: fewPools, routes: n}.route(i, 0)
+			rules = append(rules, routes.Rule{Name: r.Name, Host: r.Host, Prefix: r.Path, To: []routes.Share{{Pool: r.Pool, Weight: 1}}})
+			hosts, paths = append(hosts, r.Host), append(paths, r.Path+"/some/thing")
+		}
+		table, err := routes.Compile(rules, pools, nil)
+		if err != nil {
+			return s, err
+		}
+		began := time.Now()
+		for i := range matches {
+			k := i * 7919 % n
+			if table.Match(hosts[k], paths[k], "GET", "bulk") == routes.None {
+				return s, fmt.Errorf("%s%s has no route", hosts[k], paths[k])
+			}
+		}
+		s.add(float64(n), float64(time.Since(began).Nanoseconds())/matches)
+	}
+	return s, nil
+}
+
+// measureTogether runs one process with all of it, as far as it is taken: with a limit on memory that does not press, and with
+// the default one.
+func measureTogether(ctx context.Context, o *Options, r *Results) ([]*Slope, error) {
+	const x = "memory_mb"
+	memory := &Slope{Name: "together.memory", What: "the most resident after a start", X: x, Unit: "MB", Cases: true}
+	started := &Slope{Name: "together.start_cpu", What: "processor time of the start", X: x, Unit: "ms", Cases: true}
+	idle := &Slope{Name: "together.idle", What: "processor time at rest", X: x, Unit: "ms/s", Cases: true}
+	reload := &Slope{Name: "together.reload_cpu", What: "a reload with a tenant and a route changed", X: x, Unit: "ms", Cases: true}
+	peak := &Slope{Name: "together.reload_peak", What: "the most resident in a reload", X: x, Unit: "MB", Cases: true}
+	all := []*Slope{memory, started, idle, reload, peak}
+	pools, note := o.Site.Pools, ""
+	if p := r.probe("pools"); !p.Taken {
+		pools, note = fewPools, fmt.Sprintf("with %d pools", fewPools)
+	}
+	for _, mb := range []int{asInstalled, roomy} {
+		if err := ctx.Err(); err != nil {
+			return all, err
+		}
+		err := func() error {
+			b, _, end, err := o.balancer(o.Site.Nodes, installation{pools: pools, routes: o.Site.Routes, tenants: o.Site.Tenants, memoryMB: mb})
+			if err != nil {
+				return err
+			}
+			defer end()
+			took, err := b.CPU()
+			if err != nil {
+				return err
+			}
+			most, err := b.peak()
+			if err != nil {
+				return err
+			}
+			x := float64(mb)
+			memory.add(x, most)
+			started.add(x, ms(took))
+			idle.add(x, msPerSecond(b.rest))
+			if took, most, err = b.reload(); err != nil {
+				return err
+			}
+			reload.add(x, ms(took))
+			peak.add(x, most)
+			return nil
+		}()
+		if err != nil {
+			return all, err
+		}
+	}
+	for _, s := range all {
+		s.Note = note
+	}
+	return all, nil
+}
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -112,6 +112,12 @@
 	if a := r.last("bent"); a.Value != 400 || !a.Known {
 		t.Errorf("the last is %+v", a)
 	}
+	if a, b := r.point("bent", 10), r.point("bent", 11); a.Value != 100 || !a.Known || b.Known {
+		t.Errorf("at 10 it was %+v, at 11 %+v", a, b)
+	}
+	if r.add(&Slope{Name: "cases", Cases: true, Points: []Point{{192, 1}, {4096, 2}}}); r.at("cases", 192).Known {
+		t.Errorf("cases apart are a line: %+v", r.slope("cases").Line)
+	}
 }
 
 // fixed are results by hand: everything is a line.
@@ -146,7 +152,7 @@
 	line("source.whole_cpu", "source", 1, 0.02, 50_000)
 	line("catalog.change_cpu", "catalog", 500, 0, 310_550)
 	r.add(&Slope{Name: "pools.memory", Group: "settings", Points: []Point{{1, 20}}, Refused: "pools: 550 are more than 64"},
-		&Slope{Name: "calls.added_p99", Group: "calls", Points: []Point{{50, 0.4}, {223, 0.7}}})
+		&Slope{Name: "calls.added_p99", Group: "calls", Points: []Point{{50, 0.4}, {223, 0.7}, {446, 0.9}}})
 	return r
 }
 
@@ -266,3 +272,17 @@
 		}
 	}
 }
+
+// What a busy machine adds is not laid to the balancer, nor taken for a kept budget.
+func TestABusyMachineShowsNoAddedTime(t *testing.T) {
+	for _, c := range []struct {
+		alone   float64
+		verdict Verdict
+	}{{1, Kept}, {79, Unmeasured}} {
+		r := fixed(false)
+		r.add(&Slope{Name: "calls.straight_p99", Group: "calls", Points: []Point{{223, c.alone}}})
+		if row := find(t, r.Rows(Coming), Balancer, "added to a call"); row.Verdict() != c.verdict {
+			t.Errorf("where calls alone take %v ms at 99 %% it is %s: %+v", c.alone, row.Verdict(), row.Amount)
+		}
+	}
+}
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 // Roles of the table, in its order. Each is also a word for the command's --only.
@@ -132,6 +133,7 @@
 	add(Balancer, "CPU", "all control work, mean of a day", idle.plus(r.each("pools.idle", pools), listCPU, change.times(changes/day), peersCPU), "ms/s", core,
 		"their sum", "cmd/pewterrudder", "")
 	add(Balancer, "CPU", "at rest, all as far as it is taken, one process", r.last("together.idle"), "ms/s", core, "together.idle", "cmd/pewterrudder", "")
+	add(Balancer, "CPU", "the same within the default limits.memory_mb", r.point("together.idle", asInstalled), "ms/s", core, "together.idle", "cmd/pewterrudder", "")
 	add(Balancer, "CPU", "carrying its calls", r.each("calls.cpu", s.perBalancer()), "ms/s", 0, "calls.cpu", byCalls, "")
 
 	listBytes := r.each("list.bytes", s.daily()/day).plus(known(blankBytes / watchBlank))
@@ -148,7 +150,7 @@
 	}
 	add(Balancer, "messages", "other balancers", r.at("peers.bytes", fellows), "B/s", s.Control.Bytes, "peers.bytes", byPeers, "")
 
-	add(Balancer, "time", "added to a call at 99 %", r.last("calls.added_p99"), "ms", s.Added, "calls.added_p99 at the highest rate", byCalls, "")
+	add(Balancer, "time", "added to a call at 99 %", r.added(s), "ms", s.Added, "calls.added_p99 at a balancer's share", byCalls, "")
 	add(Balancer, "time", "the longest event of a list with half replaced", r.at("reducer.block", nodes), "ms", s.Added, "reducer.block", byWatch, "")
 	add(Balancer, "time", "a change of settings in force, processor time alone", change, "ms", 1000*s.Within.Seconds(), changeFrom, settingsBy, settingsGap)
 	add(Balancer, "time", "to find a call's route", r.at("routes.match", routes).times(1e-6), "ms", s.Added, "routes.match", byTable, "")
@@ -287,3 +289,6 @@
 
 // burstFrom is how many entries come together in a line at the least, for the cost of a burst to be the measure.
 const burstFrom = 100
+
+// Needs says whether a role's rows stand on a group of measures.
+func Needs(role, group string) bool { return slices.Contains(groups[role], group) }
--- a/internal/lab/capacity/slope.go
+++ b/internal/lab/capacity/slope.go
@@ -15,7 +15,8 @@
 	Points  []Point `json:"points"`
 	Refused string  `json:"refused,omitempty"` // why a size could not be measured
 	Line    Line    `json:"line"`
-	Note    string  `json:"note,omitempty"` // what the measure cannot show
+	Note    string  `json:"note,omitempty"`  // what the measure cannot show
+	Cases   bool    `json:"cases,omitempty"` // the sizes are cases apart, and no line is meant
 }
 
 // add a point.
@@ -103,7 +104,9 @@
 // add fits a slope's line and keeps it.
 func (r *Results) add(all ...*Slope) {
 	for _, s := range all {
-		s.Line, _ = Fit(s.Points) // without two places there is none, and at says so
+		if !s.Cases {
+			s.Line, _ = Fit(s.Points) // without two places there is none, and at says so
+		}
 		r.Slopes = append(r.Slopes, s)
 	}
 }
@@ -149,5 +152,17 @@
 			at = p
 		}
 	}
-	return known(at.Y)
+	return known(at.Y).because(s.Note)
+}
+
+// point is what was measured at a size.
+func (r *Results) point(name string, x float64) Amount {
+	if s := r.slope(name); s != nil {
+		for _, p := range s.Points {
+			if p.X == x {
+				return known(p.Y).because(s.Note)
+			}
+		}
+	}
+	return unknown("%s was not measured at %s", name, number(x))
 }
--- a/internal/lab/flowrig/balancer.go
+++ b/internal/lab/flowrig/balancer.go
@@ -73,6 +73,7 @@
 	cmd    *exec.Cmd
 	dir    string
 	stderr *tail
+	ended  chan struct{} // closed once it has; nil: Stop waits for it
 }
 
 // FreeAddr is a loopback address that nobody listens on.
@@ -91,37 +92,71 @@
 	if err != nil {
 		return nil, err
 	}
+	return StartConfigured(program, addr, []byte(s.Config(addr)), []byte(s.Settings), 10*time.Second)
+}
+
+// StartConfigured does the same with the text of a configuration file, which has it listen at addr, and of a settings file,
+// if there is any.
+func StartConfigured(program, addr string, config, settings []byte, patience time.Duration) (*Process, error) {
 	dir, err := os.MkdirTemp("", "flowrig-")
 	if err != nil {
 		return nil, err
 	}
 	p := &Process{Addr: addr, cmd: exec.Command(program), dir: dir, stderr: new(tail)}
-	config, settings := filepath.Join(dir, "config.json"), filepath.Join(dir, "settings.json")
-	err = os.WriteFile(config, []byte(s.Config(addr)), 0o600)
-	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+config, "GODEBUG=")
-	if s.Settings != "" && err == nil {
-		err = os.WriteFile(settings, []byte(s.Settings), 0o600)
-		p.cmd.Env = append(p.cmd.Env, "RUDDER_SETTINGS="+settings)
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(dir, configFile), "GODEBUG=")
+	if len(settings) > 0 {
+		p.cmd.Env = append(p.cmd.Env, "RUDDER_SETTINGS="+filepath.Join(dir, settingsFile))
 	}
 	p.cmd.Stderr = p.stderr
-	if err == nil {
+	if err = p.Configure(config, settings); err == nil {
 		err = p.cmd.Start()
 	}
-	if err == nil {
-		if err = WaitReady(addr, 10*time.Second); err != nil {
-			p.Stop()
-			return nil, fmt.Errorf("%s: %w: %s", program, err, p.stderr)
-		}
-		return p, nil
+	if err != nil {
+		os.RemoveAll(dir)
+		return nil, err
+	}
+	p.ended = make(chan struct{})
+	go func() {
+		p.cmd.Wait()
+		close(p.ended)
+	}()
+	if err = waitReady(addr, patience, p.ended); err != nil {
+		p.Stop()
+		return nil, fmt.Errorf("%s: %w: %s", program, err, p.stderr)
 	}
-	os.RemoveAll(dir)
-	return nil, err
+	return p, nil
 }
 
+// The files that a balancer is started with, in its folder.
+const (
+	configFile   = "config.json"
+	settingsFile = "settings.json"
+)
+
+// Configure writes the files anew, the second only where there is one; Reload has the balancer read them.
+func (p *Process) Configure(config, settings []byte) error {
+	err := os.WriteFile(filepath.Join(p.dir, configFile), config, 0o600)
+	if err == nil && len(settings) > 0 {
+		err = os.WriteFile(filepath.Join(p.dir, settingsFile), settings, 0o600)
+	}
+	return err
+}
+
+// Reload tells the process that its files have changed.
+func (p *Process) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // WaitReady asks until the balancer there says that it can serve.
-func WaitReady(addr string, patience time.Duration) error {
+func WaitReady(addr string, patience time.Duration) error { return waitReady(addr, patience, nil) }
+
+// waitReady does so until the process has ended, where somebody tells.
+func waitReady(addr string, patience time.Duration, ended <-chan struct{}) error {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		select {
+		case <-ended:
+			return errors.New("it has ended")
+		default:
+		}
 		resp, err := client.Get("http://" + addr + "/health/ready")
 		if err == nil {
 			resp.Body.Close()
@@ -137,7 +172,11 @@
 func (p *Process) Stop() {
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	late := time.AfterFunc(5*time.Second, func() { p.cmd.Process.Kill() })
-	p.cmd.Wait()
+	if p.ended != nil {
+		<-p.ended
+	} else {
+		p.cmd.Wait()
+	}
 	late.Stop()
 	if p.dir != "" {
 		os.RemoveAll(p.dir)
--- a/internal/lab/flowrig/flowrig_test.go
+++ b/internal/lab/flowrig/flowrig_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -55,3 +58,20 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A program that ends at once is not waited for, and what it said last is told.
+func TestAProgramThatRefusesToStartIsNotWaitedFor(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "refuses")
+	if err := os.WriteFile(program, []byte("#!/bin/sh\necho no such key >&2\nexit 1\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	addr, err := FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	_, err = StartConfigured(program, addr, []byte("{}"), nil, time.Minute)
+	if err == nil || !strings.Contains(err.Error(), "no such key") || time.Since(began) > 30*time.Second {
+		t.Errorf("after %v: %v", time.Since(began), err)
+	}
+}
