--- a/internal/lab/capacity/fit.go
+++ b/internal/lab/capacity/fit.go
@@ -18,6 +18,7 @@
 	At0      float64 `json:"at_0"`
 	Each     float64 `json:"each"`
 	Residual float64 `json:"residual"` // the largest distance of a point from the line, as a share of the largest value
+	Distance float64 `json:"distance"` // the same in the values' unit
 	R2       float64 `json:"r2"`
 	From, To float64 // the points' range
 }
@@ -45,9 +46,10 @@
 		l.R2 = 1 // all values are one
 	}
 	for _, p := range points {
-		if most > 0 {
-			l.Residual = max(l.Residual, math.Abs(p.Y-l.At(p.X))/most)
-		}
+		l.Distance = max(l.Distance, math.Abs(p.Y-l.At(p.X)))
+	}
+	if most > 0 {
+		l.Residual = l.Distance / most
 	}
 	return l, nil
 }
@@ -60,3 +62,6 @@
 
 // Bent says that the points are no line.
 func (l Line) Bent() bool { return l.Residual > bent }
+
+// Lost says that the points lie as far from the line as it rises between them, so that what one more costs is not seen.
+func (l Line) Lost() bool { return math.Abs(l.Each)*(l.To-l.From) < 2*l.Distance }
