--- a/internal/lab/capacity/balancers.go
+++ b/internal/lab/capacity/balancers.go
@@ -56,16 +56,12 @@
 			}
 			defer end()
 			x := float64(n)
-			took, err := b.CPU()
+			took, most, err := b.soFar()
 			if err != nil {
 				return err
 			}
 			started.add(x, ms(took))
 			idle.add(x, msPerSecond(b.rest))
-			most, err := b.peak()
-			if err != nil {
-				return err
-			}
 			memory.add(x, most)
 			bytes.add(x, float64(d.whole))
 			if err := b.ForgetPeak(); err != nil {
@@ -173,11 +169,7 @@
 		return err
 	}
 	defer end()
-	took, err := b.CPU()
-	if err != nil {
-		return err
-	}
-	most, err := b.peak()
+	took, most, err := b.soFar()
 	if err != nil {
 		return err
 	}
--- a/internal/lab/capacity/process.go
+++ b/internal/lab/capacity/process.go
@@ -135,6 +135,14 @@
 	return took, peak, rest, err
 }
 
+// soFar is the processor time since the start and the most resident memory, in MB.
+func (b *balancer) soFar() (took time.Duration, peak float64, err error) {
+	if took, err = b.CPU(); err == nil {
+		peak, err = b.peak()
+	}
+	return took, peak, err
+}
+
 // peak is the most resident memory so far, in MB.
 func (b *balancer) peak() (float64, error) {
 	_, most, err := b.Memory()
--- a/internal/lab/capacity/sources.go
+++ b/internal/lab/capacity/sources.go
@@ -339,11 +339,7 @@
 				return err
 			}
 			defer end()
-			took, err := b.CPU()
-			if err != nil {
-				return err
-			}
-			most, err := b.peak()
+			took, most, err := b.soFar()
 			if err != nil {
 				return err
 			}
