--- a/internal/lab/capacity/process.go
+++ b/internal/lab/capacity/process.go
@@ -19,7 +19,7 @@
 	// quietLooks in a row with no more than the resting share, and a little for what a look finds by chance, mean that it has.
 	quietLooks = 3
 	quietSlack = 2 * time.Millisecond
-	restFor    = time.Second
+	restFor    = 700 * time.Millisecond
 	// roomy is a limit on memory that the collector never comes near, so that what is held shows.
 	roomy = 4096
 	// asInstalled is the default limit: the smallest machine's.
@@ -150,7 +150,7 @@
 }
 
 // paths are of this machine, and no part of why a program refuses something.
-var paths = regexp.MustCompile(`\S*/\S*: ?`)
+var paths = regexp.MustCompile(`(^| )/\S*:`)
 
 // refusal is the last line of what a program said that did not start.
 func refusal(err error) string {
--- a/internal/lab/capacity/sources.go
+++ b/internal/lab/capacity/sources.go
@@ -334,7 +334,7 @@
 					return err
 				}
 			}
-			b, _, end, err := o.balancer(1, installation{catalog: &store{[]string{lis.Addr().String()}, prefix}})
+			b, _, end, err := o.balancer(1, installation{catalog: &store{[]string{"http://" + lis.Addr().String()}, prefix}})
 			if err != nil {
 				return err
 			}
