--- a/internal/lab/capacity/sources.go
+++ b/internal/lab/capacity/sources.go
@@ -297,6 +297,34 @@
 	return lines.Err()
 }
 
+// leastEntry is less than any entry takes on the wire.
+const leastEntry = 50
+
+// counting is a listener that counts what is written to those who come.
+type counting struct {
+	net.Listener
+	written atomic.Int64
+}
+
+func (c *counting) Accept() (net.Conn, error) {
+	nc, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &counted{nc, c}, nil
+}
+
+type counted struct {
+	net.Conn
+	by *counting
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.by.written.Add(int64(n))
+	return n, err
+}
+
 // measureCatalog has a balancer follow settings in a store, where the program does that, and changes one tenant after the
 // other.
 func measureCatalog(ctx context.Context, o *Options, r *Results) ([]*Slope, error) {
@@ -304,7 +332,8 @@
 	change := &Slope{Name: "catalog.change_cpu", What: "one tenant changed", X: x, Unit: "us"}
 	memory := &Slope{Name: "catalog.memory", What: "the most resident once all entries are in force", X: x, Unit: "MB"}
 	started := &Slope{Name: "catalog.start_cpu", What: "processor time of a start, all entries read", X: x, Unit: "ms"}
-	all := []*Slope{change, memory, started}
+	whole := &Slope{Name: "catalog.whole_bytes", What: "read at a start", X: x, Unit: "B"}
+	all := []*Slope{change, memory, started, whole}
 	for _, n := range catalogSizes {
 		if err := ctx.Err(); err != nil {
 			return all, err
@@ -323,10 +352,11 @@
 			return t
 		}
 		err := func() error {
-			lis, err := net.Listen("tcp4", "127.0.0.1:0")
+			tcp, err := net.Listen("tcp4", "127.0.0.1:0")
 			if err != nil {
 				return err
 			}
+			lis := &counting{Listener: tcp}
 			go server.Serve(lis)
 			defer server.Close()
 			for i := range n {
@@ -339,12 +369,27 @@
 				return err
 			}
 			defer end()
+			// A program may take the section and do nothing about it.
+			least := int64(n * leastEntry)
+			for until := time.Now().Add(wordsFor); lis.written.Load() < least && time.Now().Before(until); time.Sleep(quietEach) {
+				if lis.written.Load() == 0 && time.Now().After(until.Add(quietMost-wordsFor)) {
+					break
+				}
+			}
+			if told := lis.written.Load(); told < least {
+				return fmt.Errorf("the section is taken, and of %d entries %d bytes are read", n, told)
+			}
+			if err := b.settle(); err != nil {
+				return err
+			}
+			whole.add(float64(n), float64(lis.written.Load()))
 			took, most, err := b.soFar()
 			if err != nil {
 				return err
 			}
 			started.add(float64(n), ms(took))
 			memory.add(float64(n), most)
+			told := lis.written.Load()
 			if took, err = b.spent(func() error {
 				for i := range sourceChanges {
 					if err := put(fmt.Sprintf("tenants/tenant-%06d", i), terms(i, 1)); err != nil {
@@ -356,6 +401,9 @@
 			}); err != nil {
 				return err
 			}
+			if told = lis.written.Load() - told; told < sourceChanges*leastEntry {
+				return fmt.Errorf("%d changes were told in %d bytes", sourceChanges, told)
+			}
 			change.add(float64(n), us(took)/sourceChanges)
 			return nil
 		}()
