--- a/cmd/rudderlab/capacity.go
+++ b/cmd/rudderlab/capacity.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 
 	"pewterrudder/internal/lab/capacity"
@@ -21,6 +23,9 @@
 }
 
 func (c *capacityCommand) Run() error {
+	if c.Only != "" && !slices.Contains(capacity.Roles, c.Only) {
+		return misuseError{fmt.Errorf("%q is none of %s", c.Only, strings.Join(capacity.Roles, ", "))}
+	}
 	if c.Only != "" && c.Out != "" {
 		return misuseError{fmt.Errorf("a page of %s alone would lack the rest: --only goes without --out", c.Only)}
 	}
--- a/cmd/rudderlab/main_test.go
+++ b/cmd/rudderlab/main_test.go
@@ -59,6 +59,8 @@
 		{2, "no such file", []string{"replay", filepath.Join(dir, "none")}},
 		{2, "no file", []string{"report", dir}},
 		{2, "at least one", []string{"swarm", "--runs=0"}},
+		{2, "none of balancer, app-node", []string{"capacity", "--only=moon"}},
+		{2, "--only goes without --out", []string{"capacity", "--only=peers", "--out=" + filepath.Join(dir, "page.md")}},
 		{1, "1 of 1 runs break a rule", breaks},
 		{0, "complete -o default", []string{"completion", "bash"}},
 		{0, "Usage: rudderlab sweep", []string{"sweep", "--help"}},
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -153,6 +153,7 @@
 	line("source.whole_bytes", "source", 500, 200, 50_000)
 	line("source.whole_cpu", "source", 1, 0.02, 50_000)
 	line("catalog.change_cpu", "catalog", 500, 0, 310_550)
+	line("catalog.memory", "catalog", 12, 0.0001, 300_000)
 	r.add(&Slope{Name: "pools.memory", Group: "settings", Points: []Point{{1, 20}}, Refused: "pools: 550 are more than 64"},
 		&Slope{Name: "calls.added_p99", Group: "calls", Points: []Point{{50, 0.4}, {223, 0.7}, {446, 0.9}}})
 	return r
@@ -212,6 +213,9 @@
 	if !near(row.Amount.Value, 0.5) || row.By != byCatalog || row.Verdict() != Kept {
 		t.Errorf("a change of settings by entry is %+v, %s", row, row.Verdict())
 	}
+	if row = find(t, r.Rows(Coming), Balancer, "tenants"); !near(row.Amount.Value, 30) || row.From != "catalog.memory" {
+		t.Errorf("tenants by entry are %+v", row)
+	}
 	if row = find(t, r.Rows(Coming), Source, "entries"); row.Verdict() != NotGiven {
 		t.Errorf("the entries are %s", row.Verdict())
 	}
--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"runtime"
-	"slices"
 	"strings"
 	"time"
 )
@@ -31,9 +30,6 @@
 
 // Measure runs the measures that a role stands on. One that fails says so on the page, in its slopes' place.
 func Measure(ctx context.Context, o Options) (*Results, error) {
-	if o.Only != "" && !slices.Contains(Roles, o.Only) {
-		return nil, fmt.Errorf("%q is none of %s", o.Only, strings.Join(Roles, ", "))
-	}
 	began := time.Now()
 	r := &Results{Machine: machine(), Only: o.Only}
 	for _, g := range all {
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -89,6 +89,10 @@
 
 	// ---- a balancer ----
 	base := r.at("list.memory", 0)
+	tenantsFrom := "tenants.memory"
+	if catalog {
+		tenantsFrom = "catalog.memory"
+	}
 	parts := []struct {
 		what, from string
 		a          Amount
@@ -98,7 +102,7 @@
 		{"the list", "list.memory", r.each("list.memory", nodes), byWatch, ""},
 		{"routes", "routes.memory", r.each("routes.memory", routes), byTable, ""},
 		{"pools", "pools.memory", r.each("pools.memory", pools), poolsBy, poolsGap},
-		{"tenants", "tenants.memory", r.each("tenants.memory", tenants), settingsBy, settingsGap},
+		{"tenants", tenantsFrom, r.each(tenantsFrom, tenants), settingsBy, settingsGap},
 		{"other balancers, in each pool's subset", "subset.memory times pools", r.each("subset.memory", fellows).times(pools), bySubset, ""},
 		{"other balancers, as members", "peers.memory", r.each("peers.memory", fellows), byPeers, ""},
 	}
@@ -112,6 +116,8 @@
 		sum = sum.plus(p.a)
 	}
 	add(Balancer, "memory", "all of these", sum, "MB", s.Control.Memory, "their sum", "cmd/pewterrudder", "")
+	add(Balancer, "memory", "the most while the whole list is told anew, without the rest", r.at("list.whole_peak", nodes), "MB", s.Control.Memory,
+		"list.whole_peak", byWatch, "")
 	add(Balancer, "memory", "resident with list, routes, tenants and pools as far as they are taken, one process", r.last("together.memory"), "MB",
 		s.Control.Memory, "together.memory, without peers and subsets", "cmd/pewterrudder", "")
 	add(Balancer, "memory", "the most that a reload takes, the same process", r.last("together.reload_peak"), "MB", s.Control.Memory,
