--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -123,7 +123,7 @@
 
 // fixed are results by hand: everything is a line.
 func fixed(catalog bool) *Results {
-	r := &Results{Machine: Machine{CPU: "a processor", Cores: 8, Used: 4, Go: "go1.26"}, Took: 61 * time.Second,
+	r := &Results{Machine: Machine{CPU: "a processor", Cores: 8, Used: 4, Go: "go1.26", Load: "1.50"}, Took: 61 * time.Second,
 		Probes: []Probe{{Name: "catalog", Taken: catalog, Why: "settings file: unknown key"}, {Name: "pools", Why: "pools: 550 are more than 64"}}}
 	line := func(name, group string, at0, each, far float64) {
 		r.add(&Slope{Name: name, Group: group, What: "what", X: "sizes", Unit: "units", Points: []Point{{0, at0}, {far, at0 + each*far}}})
@@ -251,7 +251,7 @@
 		t.Fatal(err)
 	}
 	text := out.String()
-	for _, want := range []string{"# Capacity", "a processor, 8 cores of which 4 for the command, go1.26", "3,000 balancers, 26,000 app nodes",
+	for _, want := range []string{"# Capacity", "a processor, 8 cores of which 4 for the command, go1.26, with a load of 1.50", "3,000 balancers, 26,000 app nodes",
 		"## A balancer", "## An app node's view", "## Discovery", "## A machine of control", "## Among balancers", "## What a day brings",
 		"- catalog: refused: `settings file: unknown key`", "| memory | tenants | 120 MB | 64 | missed, 1.88 times the budget | tenants.memory |",
 		"- A balancer, memory: tenants comes to 120 MB, 1.88 times the budget.", "missing: the program refuses 550 pools: pools: 550 are more than 64",
--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -76,6 +76,9 @@
 	if clock != "" {
 		m.CPU += ", " + clock + " MHz"
 	}
+	if load, err := os.ReadFile("/proc/loadavg"); err == nil {
+		m.Load, _, _ = strings.Cut(string(load), " ")
+	}
 	return m
 }
 
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -21,8 +21,9 @@
 	p.line("code as it is, fits lines, and writes this page; nothing here is written by hand. Where a size could be run it was run, and")
 	p.line("what lies beyond the points is marked: it is computed, not measured.")
 	p.line("")
-	p.line("%s, %d cores of which %d for the command, %s; the measurement took %v.", r.Machine.CPU, r.Machine.Cores, r.Machine.Used, r.Machine.Go,
-		r.Took.Round(time.Second))
+	p.line("%s, %d cores of which %d for the command, %s, with a load of %s as it began; the measurement took %v. A machine on which more",
+		r.Machine.CPU, r.Machine.Cores, r.Machine.Used, r.Machine.Go, r.Machine.Load, r.Took.Round(time.Second))
+	p.line("wants to run than there are cores makes all times longer than they are, and processor time somewhat.")
 	p.line("")
 	p.line("The size: %s balancers, %s app nodes, %s pools, %s routes, %s tenants, %s calls a second, %d regions, %d zones, %d machines of control,",
 		number(float64(s.Balancers)), number(float64(s.Nodes)), number(float64(s.Pools)), number(float64(s.Routes)), number(float64(s.Tenants)),
--- a/internal/lab/capacity/rig_test.go
+++ b/internal/lab/capacity/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"os"
@@ -37,10 +38,11 @@
 	}
 	n := installation{pools: 4, routes: 20, tenants: 50, memoryMB: 192, discovery: "127.0.0.1:5001"}
 	c, next := load(n, 0), load(n, 1)
-	if len(c.Service.Pools) != 4 || len(c.Service.Routes) != 20 || len(c.Settings.Tenants) != 50 || c.Limits.Sockets != defaultSockets {
-		t.Errorf("%d pools, %d routes, %d tenants, %+v", len(c.Service.Pools), len(c.Service.Routes), len(c.Settings.Tenants), c.Limits)
+	told, later := quotas(t, n, 0), quotas(t, n, 1)
+	if len(c.Service.Pools) != 4 || len(c.Service.Routes) != 20 || len(told) != 50 || c.Limits.Sockets != defaultSockets {
+		t.Errorf("%d pools, %d routes, %d tenants, %+v", len(c.Service.Pools), len(c.Service.Routes), len(told), c.Limits)
 	}
-	if c.Service.Routes[0].Pool == next.Service.Routes[0].Pool || c.Settings.Tenants[0].Quota == next.Settings.Tenants[0].Quota {
+	if c.Service.Routes[0].Pool == next.Service.Routes[0].Pool || told[0] == later[0] {
 		t.Error("the next turn is the same")
 	}
 	if n = (installation{tenants: 1, discovery: "127.0.0.1:5001"}); n.settings(0) != nil {
@@ -48,6 +50,25 @@
 	}
 }
 
+// quotas of the tenants, as they are told. The form in which the program holds them is its own.
+func quotas(t *testing.T, n installation, turn int) (all []float64) {
+	t.Helper()
+	var told struct {
+		Settings struct {
+			Tenants []struct {
+				Quota float64 `json:"quota_per_s"`
+			} `json:"tenants"`
+		} `json:"settings"`
+	}
+	if err := json.Unmarshal(n.config("127.0.0.1:5000", turn), &told); err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range told.Settings.Tenants {
+		all = append(all, k.Quota)
+	}
+	return all
+}
+
 // Each watch hears the whole list first, and then what changes, in the form that the program reads.
 func TestAListingTellsWatches(t *testing.T) {
 	d, err := newListing(30, 4)
--- a/internal/lab/capacity/slope.go
+++ b/internal/lab/capacity/slope.go
@@ -70,6 +70,7 @@
 	Cores int    `json:"cores"` // of the machine
 	Used  int    `json:"used"`  // that the command may use
 	Go    string `json:"go"`
+	Load  string `json:"load"` // of the machine as the command began, on average over a minute
 }
 
 // Results are all that was measured.
--- a/internal/lab/capacity/sources.go
+++ b/internal/lab/capacity/sources.go
@@ -297,8 +297,12 @@
 	return lines.Err()
 }
 
-// leastEntry is less than any entry takes on the wire.
-const leastEntry = 50
+const (
+	// leastEntry is less than any entry takes on the wire.
+	leastEntry = 50
+	// noteBytes is more than notes take within a look.
+	noteBytes = 4096
+)
 
 // counting is a listener that counts what is written to those who come.
 type counting struct {
@@ -306,6 +310,25 @@
 	written atomic.Int64
 }
 
+// read waits until so many entries have been written, and nothing follows but now and then a note. A program may take the section
+// of settings and ask the store for nothing.
+func (c *counting) read(entries int) error {
+	last, quiet := int64(0), 0
+	for until := time.Now().Add(wordsFor); ; time.Sleep(quietEach) {
+		now := c.written.Load()
+		if quiet++; now-last > noteBytes {
+			quiet = 0
+		}
+		last = now
+		switch {
+		case now >= int64(entries*leastEntry) && quiet >= quietLooks:
+			return nil
+		case now == 0 && time.Until(until) < wordsFor-quietMost, time.Now().After(until):
+			return fmt.Errorf("the section is taken, and of %d entries %d bytes are read", entries, now)
+		}
+	}
+}
+
 func (c *counting) Accept() (net.Conn, error) {
 	nc, err := c.Listener.Accept()
 	if err != nil {
@@ -369,15 +392,8 @@
 				return err
 			}
 			defer end()
-			// A program may take the section and do nothing about it.
-			least := int64(n * leastEntry)
-			for until := time.Now().Add(wordsFor); lis.written.Load() < least && time.Now().Before(until); time.Sleep(quietEach) {
-				if lis.written.Load() == 0 && time.Now().After(until.Add(quietMost-wordsFor)) {
-					break
-				}
-			}
-			if told := lis.written.Load(); told < least {
-				return fmt.Errorf("the section is taken, and of %d entries %d bytes are read", n, told)
+			if err := lis.read(n); err != nil {
+				return err
 			}
 			if err := b.settle(); err != nil {
 				return err
