--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -22,9 +22,9 @@
 // groups of measures that a role's rows stand on.
 var groups = map[string][]string{
 	Balancer:  {"list", "reducer", "settings", "together", "catalog", "calls", "peers", "subset", "source"},
-	AppNode:   {"subset", "calls"},
+	AppNode:   {"subset"},
 	Discovery: {"list", "discovery"},
-	Source:    {"source", "catalog", "settings"},
+	Source:    {"source", "catalog"},
 	Peers:     {"peers"},
 	EventRole: {"list", "reducer", "settings", "catalog", "peers", "discovery", "source", "subset"},
 }
