Take lists of 26,000 app nodes whatever their names, and keep no buffer of their size

Seen: the hollow list of 26,000 entries with short names is 3,999,831 bytes on the wire, under the bound of 4 MiB by 5 %. With names as long as installations of that size give (a list of 4,961,832 bytes) the watch ends with 'a list without end', each time anew: the balancer would never have a list. Behind the bound, the watch kept 3,435,696 bytes of such a list for as long as it was open: json.Decoder never gives its buffer back. Ruled out: the reader above it holds nothing of a list.

The bound is 16 MiB now. Behind a value over 64 KiB the decoder is made anew, with what was read behind it. Registry has a Close, for those who run many in one process.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -13,7 +13,9 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unique"
 
+	"pewterrudder/brain"
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/reducer"
 )
@@ -54,7 +56,8 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return reducer.List{}, fmt.Errorf("registry: %w", err)
 	}
-	list := reducer.List{Revision: in.Revision, Complete: in.Complete}
+	list := reducer.List{Revision: in.Revision, Complete: in.Complete, Members: make([]brain.Member, 0, len(in.Members)),
+		Addresses: make([]string, 0, len(in.Members))}
 	var bad error
 	for i := range in.Members {
 		m, err := config.Entry(in.Members[i]).Member(started)
@@ -62,12 +65,16 @@
 			bad = fmt.Errorf("registry: members[%d]: %w", i, err)
 			continue
 		}
+		m.Zone, m.Kind = once(m.Zone), once(m.Kind)
 		list.Members = append(list.Members, m)
 		list.Addresses = append(list.Addresses, in.Members[i].Address)
 	}
 	return list, bad
 }
 
+// once holds a zone or a kind once, however many entries name it; one that nobody holds any more is forgotten.
+func once(s string) string { return unique.Make(s).Value() }
+
 // Registry opens watches. Watch is called by the goroutine that drives the reducer alone.
 type Registry struct {
 	post    func(reducer.Event)
@@ -104,6 +111,13 @@
 	}()
 }
 
+// Close ends the watch without a word.
+func (g *Registry) Close() {
+	if g.cancel != nil {
+		g.cancel()
+	}
+}
+
 var errSilent = errors.New("no line for too long")
 
 // word is what one call has heard.
@@ -226,7 +240,7 @@
 		list, err := Decode(raw, g.started)
 		if err != nil {
 			g.log(err.Error())
-			if list.Members == nil && list.Revision == 0 {
+			if len(list.Members) == 0 && list.Revision == 0 {
 				return err // not a list at all: after a gap only a new watch gives the whole
 			}
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -194,3 +194,30 @@
 		})
 	}
 }
+
+func TestAClosedWatchEndsWithoutAWord(t *testing.T) {
+	ended := make(chan struct{})
+	g, at, events := discovery(t, func(_ string, nc net.Conn) {
+		fmt.Fprintf(nc, "HTTP/1.1 %d OK\r\n\r\n%s\n", http.StatusOK, change)
+		defer close(ended)
+		for { // never silent, so that nothing else ends it
+			if _, err := nc.Write([]byte("\n")); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	g.Close() // there is none yet
+	g.Watch(reducer.Watch{ID: 7, Discovery: at, Since: 1})
+	next(t, events)
+	g.Close()
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the watch is still open")
+	}
+	g.Watch(reducer.Watch{ID: 8, Discovery: "127.0.0.1:1"}) // nobody there: it ends at once
+	if e, ok := next(t, events).(reducer.WatchEnded); !ok || e.Watch != 8 || len(events) != 0 {
+		t.Errorf("%+v", e)
+	}
+}
--- a/internal/registry/values.go
+++ b/internal/registry/values.go
@@ -7,8 +7,14 @@
 	"io"
 )
 
-// maxValue bounds one list, in bytes.
-const maxValue = 4 << 20
+const (
+	// maxValue bounds one list, in bytes: 26,000 app nodes take 4.0 MB with short names and 5.0 MB with long ones, and a
+	// balancer may hold 64 MB.
+	maxValue = 16 << 20
+	// keptBuffer is the largest value whose buffer is used again. A decoder keeps its buffer for as long as the watch lasts,
+	// and after a whole list, of which there is one, changes follow.
+	keptBuffer = 64 << 10
+)
 
 var errTooLong = errors.New("a list without end")
 
@@ -21,6 +27,7 @@
 	blank  func() // the same, without news
 	inside bool   // a value has begun
 	size   int    // of what has come of it
+	rest   []byte // read, and behind a value whose buffer was given back
 	dec    *json.Decoder
 }
 
@@ -32,6 +39,11 @@
 
 // Read is for the decoder alone.
 func (v *values) Read(p []byte) (int, error) {
+	if len(v.rest) > 0 { // counted already
+		n := copy(p, v.rest)
+		v.rest = v.rest[n:]
+		return n, nil
+	}
 	n, err := v.from.Read(p)
 	switch {
 	case n == 0:
@@ -60,6 +72,9 @@
 	rest, _ := io.ReadAll(v.dec.Buffered()) // in memory; this never fails
 	v.inside = !isBlank(rest)
 	v.size = len(rest)
+	if len(value) > keptBuffer {
+		v.rest, v.dec = rest, json.NewDecoder(v)
+	}
 	return value, nil
 }
 
