Play thousands of hollow balancers on sockets and in virtual time: rudderlab hollow

Nothing showed what 3,000 balancers with 26,000 app nodes cost their source, or how long a change takes until the last has it. rudderlab hollow plays it: on sockets all balancers at once against a source in a process of its own (some whole, the rest with a part of the list), in virtual time whole lists in batches on one timeline, the source's seconds summed. Both use the real settings code, decoder and reducer, on sockets the real registry client too.

kvrig's reading of resident memory is used and has a name for it.

--- a/internal/lab/hollow/cost.go
+++ b/internal/lab/hollow/cost.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sys/unix"
 
 	"pewterrudder/internal/config"
-	"pewterrudder/internal/lab/timeline"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/registry"
 )
@@ -63,7 +62,8 @@
 		if err != nil {
 			return nil, err
 		}
-		b := &replica{red: red, clock: timeline.NewVirtual(0)}
+		b := &replica{red: red}
+		b.alone()
 		b.take(reducer.Started{Discovery: cfg.Discovery})
 		empty, ever := reachable()
 		c.EmptyBytes = empty - before
--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -50,9 +50,11 @@
 "limits":{"max_attempts":4,"connect_timeout_ms":75,"idle_close_ms":60000,"retry_after":true,"max_retry_after_ms":500},
 "rules":{"ask_every_ms":10000,"drain_grace_ms":2000},"stats":{"how":"inline","columns":["utilization","backlog"]}}}`
 
+func file(folder string, index int) string { return filepath.Join(folder, strconv.Itoa(index)+".json") }
+
 // configure has a balancer's configuration read and checked by the real code, from a file in a folder.
 func configure(folder string, index, of int, discovery string) (*config.Config, error) {
-	path := filepath.Join(folder, strconv.Itoa(index)+".json")
+	path := file(folder, index)
 	text := fmt.Sprintf(site, index, discovery, index+1, of, zoneName(index%Zones))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/internal/lab/hollow/replica.go
+++ b/internal/lab/hollow/replica.go
@@ -15,9 +15,10 @@
 	effects []reducer.Effect
 	watch   uint64
 	asked   func(reducer.Watch) // nil: nobody answers
-	slices  int                 // events under way of the same moment, such as the rest of a list
-	longest time.Duration       // event
-	used    time.Duration       // CPU in all
+	post    func(after time.Duration, ev reducer.Event, slice bool)
+	slices  int           // events under way of the same moment, such as the rest of a list
+	longest time.Duration // event
+	used    time.Duration // CPU in all
 }
 
 func (b *replica) handle(ev reducer.Event) {
@@ -29,28 +30,32 @@
 	for _, e := range b.effects {
 		switch e := e.(type) {
 		case reducer.Arm:
-			b.arm(e)
+			if e.After <= 0 {
+				b.slices++
+			}
+			b.post(e.After, e.Event, e.After <= 0)
 		case reducer.Watch:
 			if b.watch = e.ID; b.asked != nil {
 				b.asked(e)
 			}
-		case reducer.Dial:
-			b.clock.After(0, timeline.Func(func() { b.handle(reducer.Dialed{Conn: e.Conn}) }))
+		case reducer.Dial: // nobody calls, so that only what the module tries by itself comes here
+			b.post(0, reducer.Dialed{Conn: e.Conn}, false)
 		}
 	}
 	clear(b.effects)
 }
 
-func (b *replica) arm(e reducer.Arm) {
-	if e.After <= 0 {
-		b.slices++
+// alone has the events that come later handled on a clock of its own.
+func (b *replica) alone() {
+	b.clock = timeline.NewVirtual(0)
+	b.post = func(after time.Duration, ev reducer.Event, slice bool) {
+		b.clock.After(after, timeline.Func(func() {
+			if slice {
+				b.slices--
+			}
+			b.handle(ev)
+		}))
 	}
-	b.clock.After(e.After, timeline.Func(func() {
-		if e.After <= 0 {
-			b.slices--
-		}
-		b.handle(e.Event)
-	}))
 }
 
 // take hands an event over, and what it leaves for the same moment, and gives the CPU time that it took. Nobody else may
--- a/internal/lab/kvrig/kvrig.go
+++ b/internal/lab/kvrig/kvrig.go
@@ -242,7 +242,7 @@
 	if err != nil || !ok {
 		return f, fmt.Errorf("the store says %q: %v", line, err)
 	}
-	f = Figures{Entries: entries, Share: share, Seconds: last.Seconds(), Base: status("VmRSS")}
+	f = Figures{Entries: entries, Share: share, Seconds: last.Seconds(), Base: Resident("VmRSS")}
 	before := heap()
 	s := &sink{first: make(chan time.Time, 1), hist: hdrhistogram.New(1, 60e6, 3)}
 	held := heap() - before // the histogram's own
@@ -259,10 +259,10 @@
 	case <-time.After(time.Minute):
 		return f, fmt.Errorf("no list within a minute")
 	}
-	f.Peak = status("VmHWM")
+	f.Peak = Resident("VmHWM")
 	f.Heap = (heap() - before - held) / (1 << 20)
 	time.Sleep(last)
-	f.Peak = max(f.Peak, status("VmHWM"))
+	f.Peak = max(f.Peak, Resident("VmHWM"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ms := func(q float64) float64 { return float64(s.hist.ValueAtQuantile(q)) / 1e3 }
@@ -279,8 +279,8 @@
 	return float64(m.HeapAlloc)
 }
 
-// status reads a figure of this process in MB.
-func status(key string) float64 {
+// Resident reads a figure of this process in MB: VmRSS is what is, VmHWM what was at most.
+func Resident(key string) float64 {
 	raw, err := os.ReadFile("/proc/self/status")
 	if err != nil {
 		return 0
