Do not ask for a list again while it is on its way

Seen: 300 hollow balancers that start at once made 834 calls for 300 lists, 100 restarts made 142. A call goes out beside a watch that says nothing for too long, and what counted as saying something was a whole value. A list of 4 MB that takes over 3.9 s to come, since a thousand others want theirs by the same line, was asked for anew, and then once a second: each such call has discovery send all of it once more. A test with a list that takes 7 s to come counted 5 calls. Ruled out: ended watches (none), silence (bytes came every half second).

The bytes of a list now put a call beside it off, by the same 2.5 s as its end does. Blank lines inside a list and half a list with nothing behind it are silence as before: their tests are as they were. The new test was seen failing (5 calls of 1).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 	"unique"
 
@@ -130,9 +131,12 @@
 // watch follows one watch. A discovery that takes a call and says nothing may be well again while its answer to that call
 // is still lost; giving the call up sooner would have a discovery that works through calls in turn serve those that
 // nobody waits for any more. So where it has been silent for longer than it should be, further calls go out beside the
-// first, one a second: the first line decides which of them is the watch, and the others close.
+// first, one a second: the first line decides which of them is the watch, and the others close. A list that is on its way
+// is no silence, however long it takes: each call beside it would have all of it sent once more, by the same line.
 func (g *Registry) watch(ctx context.Context, e reducer.Watch) error {
 	words := make(chan word)
+	began := time.Now()
+	var came atomic.Int64 // when the last bytes of a list did, since then
 	calls, last := map[int]context.CancelFunc{}, -1
 	begin := func() {
 		last++
@@ -140,7 +144,7 @@
 		own, cancel := context.WithCancel(cctx)
 		calls[call] = cancel
 		go func() {
-			err := g.follow(own, e.Discovery, since, func(l *reducer.List) {
+			err := g.follow(own, e.Discovery, since, func() { came.Store(int64(time.Since(began))) }, func(l *reducer.List) {
 				select {
 				case words <- word{call: call, list: l}:
 				case <-own.Done():
@@ -166,6 +170,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-beside.C:
+			if last := time.Duration(came.Load()); last > 0 {
+				if wait := last + besideAfter - time.Since(began); wait > 0 {
+					beside.Reset(wait)
+					continue
+				}
+			}
 			if len(calls) == 1 {
 				g.log("registry: no word for too long; asking again beside it")
 			}
@@ -207,8 +217,8 @@
 	}
 }
 
-// follow makes one call and hands on its lists, nil for a blank line, until it ends.
-func (g *Registry) follow(outer context.Context, discovery string, since int64, line func(*reducer.List)) error {
+// follow makes one call and hands on its lists, nil for a blank line, until it ends. It says when bytes come that count.
+func (g *Registry) follow(outer context.Context, discovery string, since int64, came func(), line func(*reducer.List)) error {
 	ctx, stop := context.WithCancelCause(outer)
 	defer stop(nil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
@@ -226,7 +236,10 @@
 	}
 	quiet := time.AfterFunc(silence, func() { stop(errSilent) })
 	defer quiet.Stop()
-	lists := newValues(resp.Body, func() { quiet.Reset(silence) }, func() { line(nil) })
+	lists := newValues(resp.Body, func() {
+		quiet.Reset(silence)
+		came()
+	}, func() { line(nil) })
 	for {
 		raw, err := lists.next()
 		switch cause := context.Cause(ctx); {
--- a/internal/registry/size_test.go
+++ b/internal/registry/size_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 	"unsafe"
 
 	"pewterrudder/internal/reducer"
@@ -79,3 +82,46 @@
 		}
 	}
 }
+
+// A long list that is on its way is no silence: a call beside it would have discovery send it all once more, by the same
+// line, and so on until none of them arrives in time.
+func TestAListOnItsWayIsNotAskedForAgain(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	text := large(500)
+	var calls atomic.Int32
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			calls.Add(1)
+			go func() {
+				defer nc.Close()
+				nc.Read(make([]byte, 1000))
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\n")
+				const pieces = 14 // half a second apart: past the moments at which silence is asked beside
+				for i := range pieces {
+					time.Sleep(500 * time.Millisecond)
+					io.WriteString(nc, text[i*len(text)/pieces:(i+1)*len(text)/pieces])
+				}
+				nc.Read(make([]byte, 1)) // until it is given back
+			}()
+		}
+	}()
+	events := make(chan reducer.Event, 10)
+	g := New(func(e reducer.Event) { events <- e }, func(string) {}, clock)
+	defer g.Close()
+	g.Watch(reducer.Watch{ID: 7, Discovery: l.Addr().String()})
+	if got, ok := next(t, events).(reducer.Listed); !ok || len(got.List.Members) != 500 {
+		t.Errorf("%T", got)
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d calls for a list that was on its way", n)
+	}
+}
