--- a/cmd/rudderlab/hollow.go
+++ b/cmd/rudderlab/hollow.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -29,9 +30,11 @@
 	Rolling   int           `default:"300" help:"Restarted at a time, until all are; 0: none."`
 	Restarts  int           `default:"1000" help:"At once; 0: none."`
 	Most      time.Duration `default:"120s" help:"That is waited for the last."`
+	MemoryGB  float64       `name:"memory-gb" default:"11" help:"That the balancers' process keeps to, as far as what it holds allows."`
 }
 
 func (h *hollowSockets) Run() error {
+	debug.SetMemoryLimit(int64(h.MemoryGB * (1 << 30)))
 	self, err := os.Executable()
 	if err != nil {
 		return err
