Play changes of a route's entry for thousands of followers with the real catalog

rudderlab hollow entries has all followers watch one key-value store over loopback, some with 10,000 routes, 550 pools and 300,000 tenants, the rest with a part; a change of a route is in force once the catalog's view matches by it. The store is the lab's stand-in in a process of its own; what it gives is counted at its sockets.

--- a/cmd/rudderlab/hollow.go
+++ b/cmd/rudderlab/hollow.go
@@ -16,6 +16,8 @@
 	Sockets hollowSockets `cmd:"" help:"All balancers at once over loopback: some with the whole list, the rest with a part of it."`
 	Virtual hollowVirtual `cmd:"" help:"Balancers with whole lists in virtual time, some at a time, on one timeline."`
 	Cost    hollowCost    `cmd:"" help:"What one balancer's list takes, by its parts."`
+	Entries hollowEntries `cmd:"" help:"Followers of routes, pools and tenants in a key-value store, all at once over loopback."`
+	Store   hollowStore   `cmd:"" hidden:"" help:"Be the key-value store of them; lines of standard input say what happens to it."`
 	Source  hollowSource  `cmd:"" hidden:"" help:"Be the source of the list; lines of standard input say what happens to it."`
 }
 
@@ -50,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		return told(r, folder, h.File)
+		return withCost(r, folder, h.File)
 	})
 }
 
@@ -72,10 +74,72 @@
 		if err != nil {
 			return err
 		}
-		return told(r, folder, h.File)
+		return withCost(r, folder, h.File)
 	})
 }
 
+type hollowEntries struct {
+	File      string        `name:"json" placeholder:"FILE" help:"Write one JSON object there."`
+	Followers int           `default:"3000" help:"At once."`
+	Whole     int           `default:"10" help:"Of them with whole entries."`
+	Steady    time.Duration `default:"20s" help:"Without a change."`
+	Changes   int           `default:"10" help:"Of one route's entry each."`
+	Most      time.Duration `default:"120s" help:"That is waited for the last."`
+	hollowSizes
+}
+
+// hollowSizes are the numbers of entries, whole and of the rest.
+type hollowSizes struct {
+	Routes      int `default:"10000" help:"Of whole entries."`
+	Pools       int `default:"550" help:"Of whole entries."`
+	Tenants     int `default:"300000" help:"Of whole entries."`
+	PartRoutes  int `default:"100" help:"That the rest hold."`
+	PartPools   int `default:"10" help:"That the rest hold."`
+	PartTenants int `default:"500" help:"That the rest hold."`
+}
+
+func (h *hollowSizes) entries() (whole, part hollow.Entries) {
+	return hollow.Entries{Routes: h.Routes, Pools: h.Pools, Tenants: h.Tenants},
+		hollow.Entries{Routes: h.PartRoutes, Pools: h.PartPools, Tenants: h.PartTenants}
+}
+
+func (h *hollowEntries) Run() error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	args := []string{self, "hollow", "store"}
+	for _, a := range []struct {
+		name string
+		n    int
+	}{{"routes", h.Routes}, {"pools", h.Pools}, {"tenants", h.Tenants}, {"part-routes", h.PartRoutes}, {"part-pools", h.PartPools}, {"part-tenants", h.PartTenants}} {
+		args = append(args, "--"+a.name, strconv.Itoa(a.n))
+	}
+	say, end, err := hollow.Child(args)
+	if err != nil {
+		return err
+	}
+	defer end()
+	whole, part := h.entries()
+	r, err := hollow.PlaySettings(hollow.Settings{Followers: h.Followers, Whole: h.Whole, Entries: whole, Part: part, Steady: h.Steady,
+		Changes: h.Changes, Most: h.Most}, say, tell)
+	if err != nil {
+		return err
+	}
+	return told(r, h.File)
+}
+
+type hollowStore struct{ hollowSizes }
+
+func (h *hollowStore) Run() error {
+	s, err := hollow.NewStore(h.entries())
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return hollow.Answer(s.Do, os.Stdin, os.Stdout)
+}
+
 type hollowCost struct {
 	JSON     bool `name:"json" help:"Write one JSON object."`
 	AppNodes int  `default:"26000" help:"In the list."`
@@ -104,7 +168,7 @@
 		return err
 	}
 	defer s.Close()
-	return s.Serve(os.Stdin, os.Stdout)
+	return hollow.Answer(s.Do, os.Stdin, os.Stdout)
 }
 
 // tell says on standard error what is played.
@@ -120,13 +184,18 @@
 	return do(folder)
 }
 
-// told adds what one balancer's list takes, writes the result and names what is broken.
-func told(r *hollow.Result, folder, file string) error {
+// withCost adds what one balancer's list takes, and tells the result.
+func withCost(r *hollow.Result, folder, file string) error {
 	c, err := hollow.Measure(folder, r.AppNodes)
 	if err != nil {
 		return err
 	}
 	r.WithCost(c)
+	return told(r, file)
+}
+
+// told writes the result and names what is broken.
+func told(r *hollow.Result, file string) error {
 	r.Table(os.Stdout)
 	if file != "" {
 		raw, err := json.MarshalIndent(r, "", "  ")
--- a/internal/lab/hollow/result.go
+++ b/internal/lab/hollow/result.go
@@ -11,12 +11,13 @@
 
 // Result of a play.
 type Result struct {
-	Form     string    `json:"form"` // "sockets" or "virtual"
+	Form     string    `json:"form"` // "sockets", "virtual" or "settings"
 	Go       string    `json:"go"`
 	CPUs     int       `json:"cpus"`
-	AppNodes int       `json:"app_nodes"`
+	AppNodes int       `json:"app_nodes,omitempty"`
 	Sockets  *Sockets  `json:"sockets,omitempty"`
 	Virtual  *Virtual  `json:"virtual,omitempty"`
+	Settings *Settings `json:"settings,omitempty"`
 	Cost     *Cost     `json:"cost_of_one,omitempty"`
 	Scenes   []Scene   `json:"scenes"`
 	Verdicts []Verdict `json:"verdicts"`
@@ -119,16 +120,20 @@
 }
 
 // Table writes the result for people.
-func (r *Result) Table(w io.Writer) {
+func (r *Result) Table(to io.Writer) {
 	switch {
 	case r.Sockets != nil:
-		fmt.Fprintf(w, "on sockets: %d balancers at once; %d hold the whole list of %d app nodes, the others one in %d\n",
+		fmt.Fprintf(to, "on sockets: %d balancers at once; %d hold the whole list of %d app nodes, the others one in %d\n",
 			r.Sockets.Balancers, r.Sockets.Whole, r.AppNodes, r.Sockets.Every)
+	case r.Settings != nil:
+		w, p := r.Settings.Entries, r.Settings.Part
+		fmt.Fprintf(to, "entries of the catalog, on sockets: %d followers at once; %d hold %d routes, %d pools and %d tenants, the others %d, %d and %d\n",
+			r.Settings.Followers, r.Settings.Whole, w.Routes, w.Pools, w.Tenants, p.Routes, p.Pools, p.Tenants)
 	case r.Virtual != nil:
-		fmt.Fprintf(w, "in virtual time: %d of %d balancers played, %d at a time, each with the whole list of %d app nodes\n",
+		fmt.Fprintf(to, "in virtual time: %d of %d balancers played, %d at a time, each with the whole list of %d app nodes\n",
 			r.Virtual.Played, r.Virtual.Balancers, r.Virtual.Batch, r.AppNodes)
 	}
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "scene\thave it\tmedian s\t99 % s\tlast s\tCPU ms each\tbytes each\tsource MB\tmost MB/s\tcalls\tmost calls/s\tresident MB\t")
 	for _, s := range r.Scenes {
 		fmt.Fprintf(t, "%s\t%d of %d\t%.3f\t%.3f\t%.3f\t%.2f\t%.0f\t%.1f\t%.1f\t%d\t%d\t%.0f\t\n", s.Name, s.Reached, s.Of, s.Lasts.P50, s.Lasts.P99,
@@ -137,7 +142,7 @@
 	}
 	t.Flush()
 	if c := r.Cost; c != nil {
-		fmt.Fprintf(w, "one balancer's list of %d: %.2f MB on the wire, %.2f MB decoded, %.2f MB held; CPU: %.0f ms to decode, %.0f ms to take up, %.0f ms again, %.0f us a change\n",
+		fmt.Fprintf(to, "one balancer's list of %d: %.2f MB on the wire, %.2f MB decoded, %.2f MB held; CPU: %.0f ms to decode, %.0f ms to take up, %.0f ms again, %.0f us a change\n",
 			c.AppNodes, float64(c.WireBytes)/1e6, float64(c.DecodedBytes)/1e6, float64(c.HeldBytes)/1e6, c.DecodeMs, c.TakeMs, c.AgainMs, c.ChangeUs)
 	}
 	for _, v := range r.Verdicts {
@@ -145,6 +150,6 @@
 		if !v.Holds {
 			word = "BROKEN"
 		}
-		fmt.Fprintf(w, "%-6s  %s: %.3g %s of %.3g at the most\n", word, v.What, v.Figure, v.Unit, v.Most)
+		fmt.Fprintf(to, "%-6s  %s: %.3g %s of %.3g at the most\n", word, v.What, v.Figure, v.Unit, v.Most)
 	}
 }
