Spread the moments at which a region's silence is noticed

Seen: all balancers of a region asked again in the same second (1,125 of 1,000 a second in a trial), since the model had them all hear their last blank line as the line went. It comes up to 2 s before.

--- a/internal/lab/hollow/virtual.go
+++ b/internal/lab/hollow/virtual.go
@@ -31,6 +31,7 @@
 	oneWay      = 2 * time.Millisecond    // between two regions; sockets and the source's own work are not modelled beyond it
 	besideAfter = 2500 * time.Millisecond // internal/registry: a call beside a watch that is silent
 	besideEvery = time.Second             // and how often then
+	blankMost   = 2 * time.Second         // between two lines of discovery, as its protocol says
 	startSpread = time.Second             // processes that are started at once do not come up in one moment
 )
 
@@ -231,12 +232,12 @@
 	return nil
 }
 
-// silent has the registry ask beside a watch that says nothing.
+// silent has the registry ask beside a watch that says nothing. Its last line without news came some time before.
 func (m *member) silent() {
 	m.left++
 	life := m.life
 	delete(m.feed.told, m)
-	m.clock.After(besideAfter, timeline.Func(func() {
+	m.clock.After(besideAfter-time.Duration(m.rng.Int64N(int64(blankMost))), timeline.Func(func() {
 		if m.life == life {
 			m.feed.open(m, m.revision)
 		}
