--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -67,13 +67,13 @@
 	})
 }
 
-// state makes the reducer of a configuration, as cmd/pewterrudder does: one pool of all app nodes.
+// state makes the reducer of a configuration, as cmd/pewterrudder does.
 func state(cfg *config.Config) (*reducer.Reducer, error) {
 	_, _, budget := cfg.Limits.Budget()
 	var l reducer.Layout
 	pools := cfg.Service.PoolsInForce()
 	for i := range pools {
-		l.Pools = append(l.Pools, reducer.PoolSpec{Name: pools[i].Name, Takes: pools[i].Takes, MaxOpen: pools[i].MaxOpen})
+		l.Pools = append(l.Pools, reducer.PoolSpec{Name: pools[i].Name, Selector: pools[i].Members.Selector(), MaxOpen: pools[i].MaxOpen})
 	}
 	return reducer.NewLaid(cfg.Brain, cfg.Prng, budget, l)
 }
