--- a/cmd/rudderlab/hollow.go
+++ b/cmd/rudderlab/hollow.go
@@ -27,6 +27,7 @@
 	Whole     int           `default:"60" help:"Of them with the whole list."`
 	Every     int           `default:"10" help:"The rest hold one app node in so many."`
 	AppNodes  int           `default:"26000" help:"In the list."`
+	Pools     int           `default:"1" help:"That divide it, by kind."`
 	Steady    time.Duration `default:"20s" help:"Without a change."`
 	Changes   int           `default:"5" help:"Of one app node each."`
 	Rolling   int           `default:"300" help:"Restarted at a time, until all are; 0: none."`
@@ -41,18 +42,19 @@
 	if err != nil {
 		return err
 	}
-	say, end, err := hollow.Child([]string{self, "hollow", "source", "--app-nodes", strconv.Itoa(h.AppNodes), "--every", strconv.Itoa(h.Every)})
+	say, end, err := hollow.Child([]string{self, "hollow", "source", "--app-nodes", strconv.Itoa(h.AppNodes), "--every", strconv.Itoa(h.Every),
+		"--pools", strconv.Itoa(h.Pools)})
 	if err != nil {
 		return err
 	}
 	defer end()
 	return inFolder(func(folder string) error {
-		r, err := hollow.PlaySockets(hollow.Sockets{Balancers: h.Balancers, Whole: h.Whole, AppNodes: h.AppNodes, Every: h.Every, Steady: h.Steady,
+		r, err := hollow.PlaySockets(hollow.Sockets{Balancers: h.Balancers, Whole: h.Whole, AppNodes: h.AppNodes, Pools: h.Pools, Every: h.Every, Steady: h.Steady,
 			Changes: h.Changes, Rolling: h.Rolling, Restarts: h.Restarts, Most: h.Most}, folder, say, tell)
 		if err != nil {
 			return err
 		}
-		return withCost(r, folder, h.File)
+		return withCost(r, h.Pools, folder, h.File)
 	})
 }
 
@@ -63,18 +65,19 @@
 	Batch     int     `default:"50" help:"At a time, on each thread."`
 	Threads   int     `default:"4" help:"That play batches."`
 	AppNodes  int     `default:"26000" help:"In the list."`
+	Pools     int     `default:"1" help:"That divide it, by kind."`
 	Gbit      float64 `default:"10" help:"That the source can send in a second, in Gbit."`
 	Seed      uint64  `default:"1" help:"Of when processes come up."`
 }
 
 func (h *hollowVirtual) Run() error {
 	return inFolder(func(folder string) error {
-		r, err := hollow.PlayVirtual(hollow.Virtual{Balancers: h.Balancers, Played: h.Played, Batch: h.Batch, AppNodes: h.AppNodes,
+		r, err := hollow.PlayVirtual(hollow.Virtual{Balancers: h.Balancers, Played: h.Played, Batch: h.Batch, AppNodes: h.AppNodes, Pools: h.Pools,
 			Rate: h.Gbit * 1e9 / 8, Seed: h.Seed, Threads: h.Threads}, folder, tell)
 		if err != nil {
 			return err
 		}
-		return withCost(r, folder, h.File)
+		return withCost(r, h.Pools, folder, h.File)
 	})
 }
 
@@ -143,11 +146,12 @@
 type hollowCost struct {
 	JSON     bool `name:"json" help:"Write one JSON object."`
 	AppNodes int  `default:"26000" help:"In the list."`
+	Pools    int  `default:"1" help:"That divide it, by kind."`
 }
 
 func (h *hollowCost) Run() error {
 	return inFolder(func(folder string) error {
-		c, err := hollow.Measure(folder, h.AppNodes)
+		c, err := hollow.Measure(folder, h.AppNodes, h.Pools)
 		if err != nil {
 			return err
 		}
@@ -159,11 +163,12 @@
 
 type hollowSource struct {
 	AppNodes int `default:"26000" help:"In the list."`
+	Pools    int `default:"1" help:"That divide it, by kind."`
 	Every    int `default:"10" help:"Of them that the second address leaves one of."`
 }
 
 func (h *hollowSource) Run() error {
-	s, err := hollow.NewSource(h.AppNodes, h.Every)
+	s, err := hollow.NewSource(h.AppNodes, h.Every, h.Pools)
 	if err != nil {
 		return err
 	}
@@ -185,8 +190,8 @@
 }
 
 // withCost adds what one balancer's list takes, and tells the result.
-func withCost(r *hollow.Result, folder, file string) error {
-	c, err := hollow.Measure(folder, r.AppNodes)
+func withCost(r *hollow.Result, pools int, folder, file string) error {
+	c, err := hollow.Measure(folder, r.AppNodes, pools)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/hollow/cost.go
+++ b/internal/lab/hollow/cost.go
@@ -14,6 +14,7 @@
 // Cost is what one balancer's list takes, by its parts. Bytes are those on the heap that stay reachable, times are CPU.
 type Cost struct {
 	AppNodes       int     `json:"app_nodes"`
+	Pools          int     `json:"pools"`
 	WireBytes      int     `json:"wire_bytes"`
 	DecodedBytes   int64   `json:"decoded_bytes"` // the list as decoded, before the reducer has it
 	HeldBytes      int64   `json:"held_bytes"`    // reducer and module with the list in force, and nothing else
@@ -47,14 +48,17 @@
 }
 
 // Measure takes the cost of one balancer's list apart, in a folder of the caller's.
-func Measure(folder string, nodes int) (*Cost, error) {
+func Measure(folder string, nodes, pools int) (*Cost, error) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	l := newList(nodes, 1)
-	c := &Cost{AppNodes: nodes, WireBytes: len(l.whole)}
+	l := newList(nodes, 1, pools)
+	if err := divide(folder, pools); err != nil {
+		return nil, err
+	}
+	c := &Cost{AppNodes: nodes, Pools: pools, WireBytes: len(l.whole)}
 	for range 2 { // the first makes what is made once
 		before, _ := reachable()
-		cfg, err := configure(folder, 0, Balancers, "127.0.0.1:1")
+		cfg, err := configure(folder, 0, Balancers, nowhere)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -16,6 +16,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"pewterrudder/internal/config"
@@ -52,7 +53,23 @@
 
 func file(folder string, index int) string { return filepath.Join(folder, strconv.Itoa(index)+".json") }
 
-// configure has a balancer's configuration read and checked by the real code, from a file in a folder.
+// services is the file of an installation's own settings, one for all balancers of a play.
+func services(folder string) string { return filepath.Join(folder, "services.json") }
+
+// divide writes pools of one kind of app node each, with a route to each of them; one pool is an installation that names none.
+func divide(folder string, pools int) error {
+	if pools < 2 {
+		return nil
+	}
+	all, routes := make([]string, pools), make([]string, pools)
+	for i := range all {
+		routes[i] = fmt.Sprintf(`{"name":"route-%d","host":"shop-%d.yard.example","pool":"pool-%d"}`, i, i, i)
+		all[i] = fmt.Sprintf(`{"name":"pool-%d","default":%v,"members":{"kinds":["m%d"]}}`, i, i == 0, i)
+	}
+	return os.WriteFile(services(folder), []byte(`{"pools":[`+strings.Join(all, ",")+`],"routes":[`+strings.Join(routes, ",")+`]}`), 0o600)
+}
+
+// configure has a balancer's configuration read and checked by the real code, from files in a folder.
 func configure(folder string, index, of int, discovery string) (*config.Config, error) {
 	path := file(folder, index)
 	text := fmt.Sprintf(site, index, discovery, index+1, of, zoneName(index%Zones))
@@ -60,8 +77,13 @@
 		return nil, err
 	}
 	return config.Load(func(name string) string {
-		if name == "RELAY_CONFIG" {
+		switch name {
+		case "RELAY_CONFIG":
 			return path
+		case config.SettingsVariable:
+			if _, err := os.Stat(services(folder)); err == nil {
+				return services(folder)
+			}
 		}
 		return ""
 	})
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -3,12 +3,13 @@
 import (
 	"testing"
 
+	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/registry"
 )
 
 // What the source tells is what the real decoder reads, whole and as changes, and a list of one in ten is that.
 func TestTheSourcesWordsAreDiscoverys(t *testing.T) {
-	l, thin := newList(900, 1), newList(900, 10)
+	l, thin := newList(900, 1, 1), newList(900, 10, 1)
 	for _, want := range []struct {
 		of *list
 		n  int
@@ -47,7 +48,7 @@
 }
 
 func TestTheCostOfAListHasItsParts(t *testing.T) {
-	c, err := Measure(t.TempDir(), 500)
+	c, err := Measure(t.TempDir(), 500, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,3 +56,35 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// With pools each app node belongs to one of them, by its kind.
+func TestPoolsDivideTheList(t *testing.T) {
+	folder := t.TempDir()
+	if err := divide(folder, 20); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := configure(folder, 0, 3, nowhere)
+	if err != nil {
+		t.Fatal(err)
+	}
+	red, err := state(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &replica{red: red}
+	b.alone()
+	l, err := registry.Decode(newList(900, 1, 20).whole, started)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.take(reducer.Started{Discovery: nowhere, Known: l})
+	names, members, _ := red.Pools()
+	for i, n := range members {
+		if n != 45 {
+			t.Errorf("%s has %d members", names[i], n)
+		}
+	}
+	if len(names) != 20 {
+		t.Errorf("%d pools", len(names))
+	}
+}
--- a/internal/lab/hollow/list.go
+++ b/internal/lab/hollow/list.go
@@ -27,15 +27,19 @@
 	text     []byte
 }
 
+// leastKinds there are where one pool takes all.
+const leastKinds = 5
+
 // epoch is when the app nodes began; what counts is that their times have thirteen digits.
 var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
 
-func newList(n, every int) *list {
+// newList makes a list of n app nodes, of which one in so many is held, of as many kinds as there are pools.
+func newList(n, every, pools int) *list {
 	l := &list{revision: 1, every: every}
 	for i := range n {
 		l.nodes = append(l.nodes, node{id: "s-" + strconv.FormatUint(uint64(i)*0x9e3779b1&0xffffffff|0x10000000, 16),
 			address: "10." + strconv.Itoa(i>>14&255) + "." + strconv.Itoa(i>>7&127) + "." + strconv.Itoa(i&127) + ":5000",
-			kind:    "m" + strconv.Itoa(i%5), zone: i % Zones, cell: i / 8, since: epoch + int64(i)*37})
+			kind:    "m" + strconv.Itoa(i/every%max(leastKinds, pools)), zone: i % Zones, cell: i / 8, since: epoch + int64(i)*37})
 	}
 	l.render()
 	return l
--- a/internal/lab/hollow/play_test.go
+++ b/internal/lab/hollow/play_test.go
@@ -10,12 +10,12 @@
 // counts what it gave.
 func TestScenesOnSockets(t *testing.T) {
 	t.Parallel()
-	s, err := NewSource(900, 10)
+	s, err := NewSource(900, 10, 4)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer s.Close()
-	plan := Sockets{Balancers: 60, Whole: 6, AppNodes: 900, Every: 10, Steady: 2 * time.Second, Changes: 2, Rolling: 10, Restarts: 12, Most: 30 * time.Second}
+	plan := Sockets{Balancers: 60, Whole: 6, AppNodes: 900, Pools: 4, Every: 10, Steady: 2 * time.Second, Changes: 2, Rolling: 10, Restarts: 12, Most: 30 * time.Second}
 	r, err := PlaySockets(plan, t.TempDir(), s.Do, func(string) {})
 	if err != nil {
 		t.Fatal(err)
@@ -41,7 +41,7 @@
 // The same in virtual time, for a part of the fleet.
 func TestScenesInVirtualTime(t *testing.T) {
 	t.Parallel()
-	plan := Virtual{Balancers: 60, Played: 30, Batch: 10, AppNodes: 180, Rate: 1.25e9, Seed: 1, Threads: 2}
+	plan := Virtual{Balancers: 60, Played: 30, Batch: 10, AppNodes: 180, Pools: 1, Rate: 1.25e9, Seed: 1, Threads: 2}
 	r, err := PlayVirtual(plan, t.TempDir(), func(string) {})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/hollow/result.go
+++ b/internal/lab/hollow/result.go
@@ -142,8 +142,8 @@
 	}
 	t.Flush()
 	if c := r.Cost; c != nil {
-		fmt.Fprintf(to, "one balancer's list of %d: %.2f MB on the wire, %.2f MB decoded, %.2f MB held; CPU: %.0f ms to decode, %.0f ms to take up, %.0f ms again, %.0f us a change\n",
-			c.AppNodes, float64(c.WireBytes)/1e6, float64(c.DecodedBytes)/1e6, float64(c.HeldBytes)/1e6, c.DecodeMs, c.TakeMs, c.AgainMs, c.ChangeUs)
+		fmt.Fprintf(to, "one balancer's list of %d in %d pools: %.2f MB on the wire, %.2f MB decoded, %.2f MB held; CPU: %.0f ms to decode, %.0f ms to take up, %.0f ms again, %.0f us a change\n",
+			c.AppNodes, c.Pools, float64(c.WireBytes)/1e6, float64(c.DecodedBytes)/1e6, float64(c.HeldBytes)/1e6, c.DecodeMs, c.TakeMs, c.AgainMs, c.ChangeUs)
 	}
 	for _, v := range r.Verdicts {
 		word := "holds"
--- a/internal/lab/hollow/sockets.go
+++ b/internal/lab/hollow/sockets.go
@@ -21,6 +21,7 @@
 	Balancers int           `json:"balancers"`
 	Whole     int           `json:"balancers_with_the_whole_list"`
 	AppNodes  int           `json:"app_nodes"`
+	Pools     int           `json:"pools"`
 	Every     int           `json:"the_rest_hold_one_in"`
 	Steady    time.Duration `json:"steady_ns"`
 	Changes   int           `json:"changes"`
@@ -89,6 +90,9 @@
 	}
 	c := &crowd{plan: plan, folder: folder, say: say, on: newBoard(plan.Balancers), all: make([]*balancer, plan.Balancers),
 		result: &Result{Form: "sockets", Sockets: &plan, AppNodes: plan.AppNodes}}
+	if err := divide(folder, plan.Pools); err != nil {
+		return nil, err
+	}
 	addresses, err := say("addresses")
 	if err != nil {
 		return nil, err
--- a/internal/lab/hollow/source.go
+++ b/internal/lab/hollow/source.go
@@ -35,8 +35,8 @@
 }
 
 // NewSource listens on loopback. Of n app nodes the second address tells one in so many.
-func NewSource(n, every int) (*Source, error) {
-	s := &Source{lists: [2]*list{newList(n, 1), newList(n, every)}, news: make(chan struct{}), done: make(chan struct{})}
+func NewSource(n, every, pools int) (*Source, error) {
+	s := &Source{lists: [2]*list{newList(n, 1, pools), newList(n, every, pools)}, news: make(chan struct{}), done: make(chan struct{})}
 	for i := range s.listeners {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
--- a/internal/lab/hollow/virtual.go
+++ b/internal/lab/hollow/virtual.go
@@ -21,6 +21,7 @@
 	Played    int     `json:"balancers_played"`
 	Batch     int     `json:"at_a_time"`
 	AppNodes  int     `json:"app_nodes"`
+	Pools     int     `json:"pools"`
 	Rate      float64 `json:"source_bytes_a_second"` // that the source can give; a batch has its share of it
 	Seed      uint64  `json:"seed"`
 	Threads   int     `json:"threads"`
@@ -261,6 +262,9 @@
 		return nil, errors.New("hollow: some balancers, of the fleet's, in batches, with a rate and app nodes are needed")
 	}
 	r := &Result{Form: "virtual", Virtual: &plan, AppNodes: plan.AppNodes}
+	if err := divide(folder, plan.Pools); err != nil {
+		return nil, err
+	}
 	var batches [][]int
 	for i := range plan.Played {
 		if i%plan.Batch == 0 {
@@ -296,7 +300,7 @@
 	part := float64(len(indices)) / float64(plan.Balancers)
 	src := chance.New(plan.Seed)
 	region := func(m *member) int { return m.index % Zones / 3 }
-	f := &feed{clock: clock, list: newList(plan.AppNodes, 1), rate: plan.Rate * part, told: map[*member]int64{}}
+	f := &feed{clock: clock, list: newList(plan.AppNodes, 1, plan.Pools), rate: plan.Rate * part, told: map[*member]int64{}}
 	cut := -1
 	f.apart = func(m *member) bool { return region(m) == cut }
 	for _, i := range indices {
