--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,8 +12,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
+	"unique"
 
+	"pewterrudder/brain"
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/reducer"
 )
@@ -54,7 +57,8 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return reducer.List{}, fmt.Errorf("registry: %w", err)
 	}
-	list := reducer.List{Revision: in.Revision, Complete: in.Complete}
+	list := reducer.List{Revision: in.Revision, Complete: in.Complete, Members: make([]brain.Member, 0, len(in.Members)),
+		Addresses: make([]string, 0, len(in.Members))}
 	var bad error
 	for i := range in.Members {
 		m, err := config.Entry(in.Members[i]).Member(started)
@@ -62,12 +66,16 @@
 			bad = fmt.Errorf("registry: members[%d]: %w", i, err)
 			continue
 		}
+		m.Zone, m.Kind = once(m.Zone), once(m.Kind)
 		list.Members = append(list.Members, m)
 		list.Addresses = append(list.Addresses, in.Members[i].Address)
 	}
 	return list, bad
 }
 
+// once holds a zone or a kind once, however many entries name it; one that nobody holds any more is forgotten.
+func once(s string) string { return unique.Make(s).Value() }
+
 // Registry opens watches. Watch is called by the goroutine that drives the reducer alone.
 type Registry struct {
 	post    func(reducer.Event)
@@ -104,6 +112,13 @@
 	}()
 }
 
+// Close ends the watch without a word.
+func (g *Registry) Close() {
+	if g.cancel != nil {
+		g.cancel()
+	}
+}
+
 var errSilent = errors.New("no line for too long")
 
 // word is what one call has heard.
@@ -116,7 +131,8 @@
 // watch follows one watch. A discovery that takes a call and says nothing may be well again while its answer to that call
 // is still lost; giving the call up sooner would have a discovery that works through calls in turn serve those that
 // nobody waits for any more. So where it has been silent for longer than it should be, further calls go out beside the
-// first, one a second: the first line decides which of them is the watch, and the others close.
+// first, one a second: the first line decides which of them is the watch, and the others close. A list that is on its way
+// is no silence, however long it takes: each call beside it would have all of it sent once more, by the same line.
 func (g *Registry) watch(ctx context.Context, e reducer.Watch) error {
 	words := make(chan word)
 	type asked struct {
@@ -124,13 +140,15 @@
 		at     time.Time
 	}
 	calls, last := map[int]asked{}, -1
+	began := time.Now()
+	var came atomic.Int64 // when the last bytes of a list did, since then
 	begin := func() {
 		last++
 		call, cctx, since := last, ctx, e.Since
 		own, cancel := context.WithCancel(cctx)
 		calls[call] = asked{cancel, time.Now()}
 		go func() {
-			err := g.follow(own, e.Discovery, since, func(l *reducer.List) {
+			err := g.follow(own, e.Discovery, since, func() { came.Store(int64(time.Since(began))) }, func(l *reducer.List) {
 				select {
 				case words <- word{call: call, list: l}:
 				case <-own.Done():
@@ -156,6 +174,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-beside.C:
+			if last := time.Duration(came.Load()); last > 0 {
+				if wait := last + besideAfter - time.Since(began); wait > 0 {
+					beside.Reset(wait)
+					continue
+				}
+			}
 			if len(calls) == 1 {
 				g.log("registry: no word for too long; asking again beside it")
 			}
@@ -205,8 +229,8 @@
 	}
 }
 
-// follow makes one call and hands on its lists, nil for a blank line, until it ends.
-func (g *Registry) follow(outer context.Context, discovery string, since int64, line func(*reducer.List)) error {
+// follow makes one call and hands on its lists, nil for a blank line, until it ends. It says when bytes come that count.
+func (g *Registry) follow(outer context.Context, discovery string, since int64, came func(), line func(*reducer.List)) error {
 	ctx, stop := context.WithCancelCause(outer)
 	defer stop(nil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
@@ -224,7 +248,10 @@
 	}
 	quiet := time.AfterFunc(silence, func() { stop(errSilent) })
 	defer quiet.Stop()
-	lists := newValues(resp.Body, func() { quiet.Reset(silence) }, func() { line(nil) })
+	lists := newValues(resp.Body, func() {
+		quiet.Reset(silence)
+		came()
+	}, func() { line(nil) })
 	for {
 		raw, err := lists.next()
 		switch cause := context.Cause(ctx); {
@@ -238,7 +265,7 @@
 		list, err := Decode(raw, g.started)
 		if err != nil {
 			g.log(err.Error())
-			if list.Members == nil && list.Revision == 0 {
+			if len(list.Members) == 0 && list.Revision == 0 {
 				return err // not a list at all: after a gap only a new watch gives the whole
 			}
 		}
