--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -32,6 +32,8 @@
 	besideAfter = 2500 * time.Millisecond
 	besideEvery = time.Second
 	besideHead  = patience - 100*time.Millisecond
+	// progress is what has to come of a list between two looks for it to be on its way: one that trickles never ends.
+	progress = 4 << 10
 )
 
 // entry is a config.Entry under discovery's names.
@@ -135,20 +137,20 @@
 // is no silence, however long it takes: each call beside it would have all of it sent once more, by the same line.
 func (g *Registry) watch(ctx context.Context, e reducer.Watch) error {
 	words := make(chan word)
+	var came atomic.Int64 // bytes of lists
+	seen := int64(0)      // of these, at the last look
 	type asked struct {
 		cancel context.CancelFunc
 		at     time.Time
 	}
 	calls, last := map[int]asked{}, -1
-	began := time.Now()
-	var came atomic.Int64 // when the last bytes of a list did, since then
 	begin := func() {
 		last++
 		call, cctx, since := last, ctx, e.Since
 		own, cancel := context.WithCancel(cctx)
 		calls[call] = asked{cancel, time.Now()}
 		go func() {
-			err := g.follow(own, e.Discovery, since, func() { came.Store(int64(time.Since(began))) }, func(l *reducer.List) {
+			err := g.follow(own, e.Discovery, since, func(n int) { came.Add(int64(n)) }, func(l *reducer.List) {
 				select {
 				case words <- word{call: call, list: l}:
 				case <-own.Done():
@@ -174,11 +176,10 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-beside.C:
-			if last := time.Duration(came.Load()); last > 0 {
-				if wait := last + besideAfter - time.Since(began); wait > 0 {
-					beside.Reset(wait)
-					continue
-				}
+			if now := came.Load(); now-seen >= progress {
+				seen = now
+				beside.Reset(besideEvery)
+				continue
 			}
 			if len(calls) == 1 {
 				g.log("registry: no word for too long; asking again beside it")
@@ -229,8 +230,20 @@
 	}
 }
 
+// counted says how much has come.
+type counted struct {
+	io.Reader
+	came func(int)
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.came(n)
+	return n, err
+}
+
 // follow makes one call and hands on its lists, nil for a blank line, until it ends. It says when bytes come that count.
-func (g *Registry) follow(outer context.Context, discovery string, since int64, came func(), line func(*reducer.List)) error {
+func (g *Registry) follow(outer context.Context, discovery string, since int64, came func(int), line func(*reducer.List)) error {
 	ctx, stop := context.WithCancelCause(outer)
 	defer stop(nil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
@@ -248,10 +261,7 @@
 	}
 	quiet := time.AfterFunc(silence, func() { stop(errSilent) })
 	defer quiet.Stop()
-	lists := newValues(resp.Body, func() {
-		quiet.Reset(silence)
-		came()
-	}, func() { line(nil) })
+	lists := newValues(counted{resp.Body, came}, func() { quiet.Reset(silence) }, func() { line(nil) })
 	for {
 		raw, err := lists.next()
 		switch cause := context.Cause(ctx); {
