--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"reflect"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -65,6 +66,12 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
+	tenants := new(tenants.Table)
+	tenantRound := uint32(1)
+	if err := cfg.Tenants.Into(tenants, tenantRound); err != nil { // while the collector still keeps close to what is live
+		return fmt.Errorf("settings: %w", err)
+	}
+	debug.FreeOSMemory() // what reading took
 	shareMemory(cfg, 1)
 
 	begin := time.Now()
@@ -91,16 +98,11 @@
 	}
 	events := make(chan reducer.Event, backlog)
 	post := func(ev reducer.Event) { events <- ev }
-	tenants := new(tenants.Table)
-	tenantRound := uint32(1)
-	if err := cfg.Tenants.Into(tenants, tenantRound); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
 	var deadlines []time.Duration
 	for _, c := range cfg.Brain.Classes {
 		deadlines = append(deadlines, c.Deadline)
 	}
-	front := acceptor.New(now, post, cfg.Settings.Names(), deadlines, tenants, clientBudget, keptBudget,
+	front := acceptor.New(now, post, cfg.Settings.Places(), deadlines, tenants, clientBudget, keptBudget,
 		acceptor.Bounds{Upload: flows.MaxUploadBytes, ClientIdle: flows.ClientIdle()})
 	nodes := delegation.New(post, cfg.Settings.Stats.Columns, delegation.Bounds{Largest: flows.MaxAnswerBytes,
 		Room: flow.NewRoom(flows.Room(cfg.Limits)), Wait: flows.Wait()})
@@ -270,6 +272,9 @@
 			}
 			cfg.Keep(next)
 			post(moved)
+			if cfg.Tenants.Len() > 0 {
+				debug.FreeOSMemory() // what reading took: with many tenants as much as the table
+			}
 			if retuned {
 				log.Printf("reload: settings with %d classes and %d attempts", len(next.Brain.Classes), next.Brain.MaxAttempts)
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -162,9 +162,9 @@
 	return nil
 }
 
-// Names maps the names of classes to their places in the settings.
-func (c *Settings) Names() (classes map[string]int) {
-	classes = map[string]int{}
+// Places maps the names of classes to their places in the settings.
+func (c *Settings) Places() map[string]int {
+	classes := map[string]int{}
 	for i := range c.Categories {
 		classes[c.Categories[i].Name] = i
 	}
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -40,8 +40,8 @@
 // Keep takes over what is in force of a configuration that was read again.
 func (c *Config) Keep(next *Config) {
 	c.text, c.cut, c.Discovery, c.Raw, c.Settings, c.Brain = next.text, next.cut, next.Discovery, next.Raw, next.Settings, next.Brain
+	next.Tenants.text = nil // they are in the table
 	c.Tenants = next.Tenants
-	c.Tenants.text = nil // they are in the table
 }
 
 // free are the keys that may come and go: a list in hand is for a start, and a seed is new with each.
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -104,14 +104,21 @@
 // this one does not name, go out; those with a revision are somebody else's and stay as they are. The round has to differ
 // from list to list.
 func (t *Tenants) Into(table *tenants.Table, round uint32) error {
+	before := table.Len()
 	_, err := eachTenant(t.text, func(_ int, e *entry) error {
 		if revision, _, ok := table.At(string(e.name)); !ok || revision == 0 {
 			table.Put(string(e.name), tenants.Terms{Quota: e.quota, Share: e.share}, 0, round)
 		}
 		return nil
 	})
-	t.text = nil
+	if t.text = nil; before == 0 {
+		return err
+	}
+	looked := 0
 	for name := range table.All() {
+		if looked++; looked%between == 0 {
+			runtime.Gosched()
+		}
 		if revision, sum, ok := table.At(name); ok && revision == 0 && sum != round {
 			table.Delete(name)
 		}
@@ -250,9 +257,16 @@
 // plainNumber is a number without an exponent.
 func plainNumber(text []byte) (v float64, ok bool) {
 	digits := bytes.TrimPrefix(text, []byte("-"))
-	whole, part, point := bytes.Cut(digits, []byte("."))
-	if len(whole) == 0 || len(whole) > 1 && whole[0] == '0' || point && len(part) == 0 ||
-		len(bytes.Trim(whole, "0123456789")) > 0 || len(bytes.Trim(part, "0123456789")) > 0 {
+	point := len(digits)
+	for i, c := range digits {
+		switch {
+		case c == '.' && point == len(digits):
+			point = i
+		case c < '0' || c > '9':
+			return 0, false
+		}
+	}
+	if point == 0 || point > 1 && digits[0] == '0' || point == len(digits)-1 {
 		return 0, false
 	}
 	v, err := strconv.ParseFloat(string(text), 64)
--- a/internal/tenants/shard.go
+++ b/internal/tenants/shard.go
@@ -15,9 +15,13 @@
 	// looks at few places up to there.
 	indexLeast = 8
 	// deadMost is the share of an arena, as a divisor, that names of removed tenants may take, beside deadFree bytes: to clear
-	// a shard of 300 takes some microseconds, after some twenty removals. An arena that must grow does so by spare, a divisor
-	// too: doubled, it would be a quarter empty.
-	deadMost, deadFree, spare = 16, 64, 16
+	// a shard of 300 takes some microseconds, after some twenty removals.
+	deadMost, deadFree = 16, 64
+	// spare is by how much an arena grows, as a divisor: doubled, it would be a quarter empty, and with less, what filling a
+	// table leaves to the collector is many times the table.
+	spare = 4
+	// entriesMost is what an index of two bytes can tell apart, which is 67 million tenants in all: no process holds so many.
+	entriesMost = 1<<16 - 1
 )
 
 // page is a run of entries, field by field, since a struct of each would be rounded up to 40 bytes.
@@ -34,7 +38,7 @@
 	mu    sync.RWMutex
 	pages []*page
 	count int
-	index []uint32 // by hash: 1 + the place of an entry; 0: free
+	index []uint16 // by hash: 1 + the place of an entry; 0: free
 	arena []byte
 	dead  int // bytes of the arena that nobody's name is in
 }
@@ -67,6 +71,9 @@
 
 // add makes an entry for a name that has none.
 func (s *shard) add(name string, hash, id uint32) (at int) {
+	if s.count == entriesMost {
+		panic("tenants: more than an index can tell apart")
+	}
 	if 8*(s.count+1) > 7*len(s.index) {
 		s.indexAnew(max(indexLeast, 2*len(s.index)))
 	}
@@ -98,11 +105,11 @@
 	for s.index[slot] != 0 {
 		slot = (slot + 1) & mask
 	}
-	s.index[slot] = uint32(at + 1)
+	s.index[slot] = uint16(at + 1)
 }
 
 func (s *shard) indexAnew(size int) {
-	s.index = make([]uint32, size)
+	s.index = make([]uint16, size)
 	for at := range s.count {
 		s.point(s.hashOf(at), at)
 	}
@@ -112,7 +119,7 @@
 func (s *shard) slotOf(at int) int {
 	mask := len(s.index) - 1
 	slot := int(s.hashOf(at)) & mask
-	for s.index[slot] != uint32(at+1) {
+	for s.index[slot] != uint16(at+1) {
 		slot = (slot + 1) & mask
 	}
 	return slot
@@ -124,7 +131,7 @@
 	length, prefix := binary.Uvarint(s.arena[p.name[i]:])
 	last := s.count - 1
 	if at != last {
-		s.index[s.slotOf(last)] = uint32(at + 1)
+		s.index[s.slotOf(last)] = uint16(at + 1)
 		q, j := s.entry(last)
 		p.terms[i], p.revision[i], p.name[i], p.sum[i], p.id[i] = q.terms[j], q.revision[j], q.name[j], q.sum[j], q.id[j]
 	}
@@ -155,7 +162,7 @@
 // clearDead writes the names that are in use to an arena of their own.
 func (s *shard) clearDead() {
 	room := len(s.arena) - s.dead
-	live := make([]byte, 0, room+room/spare)
+	live := make([]byte, 0, room+room/deadMost)
 	for at := range s.count {
 		name := s.nameOf(at)
 		p, i := s.entry(at)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -207,7 +207,7 @@
 		return nil, fmt.Errorf("conf: %w", err)
 	}
 	inst := &instance{node: node}
-	inst.classes = c.Names()
+	inst.classes = c.Places()
 	return inst, c.Tenants.Into(&inst.tenants, 1)
 }
 
