Read tenants with encoding/json, in a stream, and drop our own scanner

Seen: the list of tenants was cut out of the configuration and read by 127 lines of our own that walked through JSON, and the file's text (19.4 MB with 300,000 tenants) was held until the list had gone into the table.

encoding/json's Decoder goes through the file by tokens to settings.tenants and decodes one entry at a time; the list is held packed (about 10 MB) until it enters the table, block by block, and the rest of the file is read with null in its place. The text is never held whole, unless the list is not there, keys on the way are doubtful, the text is malformed, or it comes through a pipe: then as before. scan.go goes. An entry's keys, which a reload compares, are taken from a second reading only where the text has others than the three usual ones. Lists differ now when entries or their keys do, not when white space alone does.

Tests: the daemon's bounds for memory go down from 75, 80 and 85 MB to 55, 64 and 67; those for time stay. The scanner had no test of its own. Tests that read the list's text read the held entries instead; Into cannot fail any more and returns nothing. New and seen failing: TestEntriesHaveTheKeysTheyAreToldBy (it found that a null behind {} was taken for one; and with each condition of plain taken out), TestALongListIsReadApart (offset wrong by one; never apart), TestTenantsComeThroughAPipe (without its branch), and a text with settings twice among the plain verdicts (without the check for a key seen twice).

--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -72,9 +72,7 @@
 	tenants := new(tenants.Table)
 	tenantRound := uint32(1)
 	debug.SetGCPercent(fillingPercent)
-	if err := cfg.Tenants.Into(tenants, tenantRound); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
+	cfg.Tenants.Into(tenants, tenantRound)
 	debug.FreeOSMemory() // what reading took
 	shareMemory(cfg, 1)
 
@@ -269,9 +267,7 @@
 			}
 			if cfg.Tenants.Differ(&next.Tenants) {
 				tenantRound++
-				if err := next.Tenants.Into(tenants, tenantRound); err != nil { // it was found sound when it was read
-					log.Printf("reload: tenants: %v", err)
-				}
+				next.Tenants.Into(tenants, tenantRound)
 				log.Printf("reload: %d tenants", tenants.Len())
 			}
 			cfg.Keep(next)
--- a/cmd/pewterrudder/tenants_test.go
+++ b/cmd/pewterrudder/tenants_test.go
@@ -79,13 +79,13 @@
 		}
 		return cpu
 	}
-	used := look("a start", bound{75e6, 2 * time.Second}, 0)
+	used := look("a start", bound{55e6, 2 * time.Second}, 0)
 	for i, step := range []struct {
 		what, text, says string
 		most             bound
 	}{
-		{"the same again", first, "reload: discovery is", bound{80e6, time.Second}},
-		{"another tenant", with(list(1, many+1)), "reload: 300000 tenants", bound{85e6, 2500 * time.Millisecond}},
+		{"the same again", first, "reload: discovery is", bound{64e6, time.Second}},
+		{"another tenant", with(list(1, many+1)), "reload: 300000 tenants", bound{67e6, 2500 * time.Millisecond}},
 	} {
 		if err := os.WriteFile(path, []byte(step.text), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"math"
 	"net/netip"
-	"os"
 	"reflect"
 	"strconv"
 	"time"
@@ -290,8 +289,8 @@
 	Known     json.RawMessage `json:"known"`    // a list in discovery's form
 	Raw       json.RawMessage `json:"settings"` // see Settings
 
-	text     []byte         // of the file, without the tenants where those were cut out
-	cut      bool           // they were
+	text     []byte         // of the file, without the tenants where those were read apart from it
+	apart    bool           // they were
 	Settings *Settings      `json:"-"`
 	Tenants  Tenants        `json:"-"` // of the settings, which have none themselves: they may be most of all that is told
 	Service  Service        `json:"-"` // of the settings file
@@ -306,13 +305,12 @@
 	if path == "" {
 		return nil, errors.New("RELAY_CONFIG is not set")
 	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
+	c := new(Config)
+	var list Tenants
+	var fault, err error
+	if c.text, list, c.apart, fault, err = readApart(path); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
-	c := new(Config)
-	var list []byte
-	c.text, list, c.cut = cut(raw, "settings", "tenants")
 	if err := json.Unmarshal(c.text, c); err != nil {
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
@@ -330,10 +328,11 @@
 	if err := c.check(); err != nil {
 		return c, err
 	}
-	if c.Tenants, c.Settings.Tenants = c.Settings.Tenants, (Tenants{}); c.cut && string(list) != "null" {
-		if err := c.Tenants.read(list); err != nil {
-			return c, fmt.Errorf("settings: conf: %w", err)
-		}
+	if fault != nil {
+		return c, fmt.Errorf("settings: conf: %w", fault)
+	}
+	if c.Tenants, c.Settings.Tenants = c.Settings.Tenants, (Tenants{}); c.apart {
+		c.Tenants = list
 	}
 	return c, nil
 }
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -30,17 +30,17 @@
 	return next, nil
 }
 
-// graft puts the tenants where they were cut out.
+// graft puts the tenants where the text has none.
 func (c *Config) graft(text any) {
-	if c.cut && c.Tenants.told {
+	if c.apart && c.Tenants.told {
 		text.(map[string]any)["settings"].(map[string]any)["tenants"] = &c.Tenants
 	}
 }
 
 // Keep takes over what is in force of a configuration that was read again.
 func (c *Config) Keep(next *Config) {
-	c.text, c.cut, c.Discovery, c.Raw, c.Settings, c.Brain = next.text, next.cut, next.Discovery, next.Raw, next.Settings, next.Brain
-	next.Tenants.text = nil // they are in the table
+	c.text, c.apart, c.Discovery, c.Raw, c.Settings, c.Brain = next.text, next.apart, next.Discovery, next.Raw, next.Settings, next.Brain
+	next.Tenants.release() // they are in the table
 	c.Tenants = next.Tenants
 }
 
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -2,14 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
+	"math"
 	"runtime"
 	"slices"
-	"strconv"
-	"strings"
-	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,79 +24,138 @@
 	Share float64 `json:"share"`
 }
 
-// Tenants are those that the settings name. There may be hundreds of thousands, so that they are held as they are told until
-// they have gone Into a table, one by one; what is known of the list afterwards is what another is compared with.
+// Tenants are those that the settings name. There may be hundreds of thousands, so that they are read entry by entry and held
+// packed until they have gone Into a table; what is known of the list afterwards is what another is compared with.
 type Tenants struct {
-	text  []byte   // a list that was read and found sound; nil: none, or gone into a table
-	count int      // of entries
-	keys  []string // that all of them have, in order; nil: there are none, or not all are objects
-	sum   uint64   // of the text
-	told  bool     // there is a list, if an empty one
+	entries packed   // of a list that was read and found sound; nil: none, or gone into a table
+	count   int      // of entries
+	shapes  []shape  // that entries have, while they are held
+	keys    []string // that all of them have, in order; nil: there are none, or not all are objects
+	sum     uint64   // of the entries
+	told    bool     // there is a list, if an empty one
 }
 
+// shape is the keys that an entry was told by, in order; nil: it is no object.
+type shape []string
+
+func (s shape) is(other shape) bool { return (s == nil) == (other == nil) && slices.Equal(s, other) }
+
 // TenantsOf makes the list that settings would tell, unchecked.
-func TenantsOf(list []Tenant) Tenants {
-	text, err := json.Marshal(list)
-	if err != nil {
-		panic(err) // a figure that is no number: whoever lists it has drawn it wrongly
+func TenantsOf(list []Tenant) (t Tenants) {
+	for i := range list {
+		t.entries.add(&list[i], 0)
 	}
-	return Tenants{text: text, count: len(list), sum: xxhash.Sum64(text), told: true}
+	t.shapes = []shape{usual}
+	t.close(len(list))
+	return t
 }
 
 // MarshalJSON writes the list that is held.
 func (t Tenants) MarshalJSON() ([]byte, error) {
-	if t.text == nil {
-		return []byte("[]"), nil
+	list := []Tenant{}
+	for r := range t.entries.all() {
+		list = append(list, Tenant{string(r.name), r.quota, r.share})
 	}
-	return t.text, nil
+	return json.Marshal(list)
 }
 
-// UnmarshalJSON reads a list and keeps a copy of it.
+// UnmarshalJSON reads a list.
 func (t *Tenants) UnmarshalJSON(text []byte) error {
 	if *t = (Tenants{}); string(text) == "null" {
 		return nil
 	}
-	return t.read(bytes.Clone(text))
+	in := newStream(bytes.NewReader(text))
+	if begin, err := in.Token(); err != nil {
+		return err
+	} else if begin != json.Delim('[') {
+		return errors.New("tenants is no list")
+	}
+	fault, err := t.read(in)
+	if err = cmp.Or(err, fault); err != nil {
+		return err
+	}
+	if _, err := in.Token(); err != io.EOF {
+		return cmp.Or(err, errors.New("tenants: there is more behind the list"))
+	}
+	return nil
 }
 
-// read takes a list up if it is sound. An error names the entry at fault.
-func (t *Tenants) read(text []byte) error {
-	var keys []string
-	objects := true
-	count, err := eachTenant(text, func(i int, e *entry) error {
-		if e.quota < 0 {
-			return fmt.Errorf("tenants[%d].quota_per_s: %v is out of range", i, e.quota)
-		}
-		if objects = objects && e.object; !objects {
-			return nil
+// between is how many entries are read before others have a turn: the calls of a process that reads a long list again shall
+// wait for a part of a millisecond.
+const between = 256
+
+// read takes up a list whose beginning was read, if it is sound. A fault names the entry that has it, and the list is read to
+// its end all the same; an error is one of the text, behind which nothing can be read.
+func (t *Tenants) read(in *stream) (fault, err error) {
+	*t = Tenants{}
+	count, last, e := 0, -1, new(entry)
+	numbers := map[string]int{} // of shapes
+	for ; in.More(); count++ {
+		if err := e.read(in); err != nil {
+			return nil, err
 		}
-		if i == 0 {
-			for _, k := range e.keys {
-				keys = append(keys, string(k))
+		switch {
+		case fault != nil:
+		case e.fault != nil:
+			fault = fmt.Errorf("tenants[%d]: %w", count, e.fault)
+		case e.Quota < 0:
+			fault = fmt.Errorf("tenants[%d].quota_per_s: %v is out of range", count, e.Quota)
+		default:
+			if last < 0 || !e.shape.is(t.shapes[last]) {
+				last = t.number(numbers, e.shape)
 			}
-			slices.Sort(keys)
-			keys = slices.Compact(keys)
-			return nil
+			t.entries.add(&e.Tenant, last)
+		}
+		if count%between == between-1 {
+			runtime.Gosched()
 		}
-		keys = slices.DeleteFunc(keys, func(k string) bool { return !e.has(k) })
-		return nil
-	})
-	if err != nil {
-		return err
 	}
-	if !objects || count == 0 {
-		keys = nil
-	} else if keys == nil {
-		keys = []string{}
+	if _, err := in.Token(); err != nil {
+		return nil, err
+	}
+	if fault != nil {
+		*t = Tenants{}
+		return fault, nil
+	}
+	t.close(count)
+	return nil, nil
+}
+
+// number is the place of a shape among those of the list.
+func (t *Tenants) number(numbers map[string]int, s shape) int {
+	name := fmt.Sprintf("%t%q", s == nil, []string(s))
+	n, ok := numbers[name]
+	if !ok {
+		n = len(t.shapes)
+		numbers[name], t.shapes = n, append(t.shapes, s)
+	}
+	return n
+}
+
+// close notes what is known of the list as a whole.
+func (t *Tenants) close(count int) {
+	sum := xxhash.New()
+	for _, b := range t.entries {
+		sum.Write(b)
+	}
+	t.count, t.sum, t.told = count, sum.Sum64(), true
+	if count == 0 {
+		return
+	}
+	t.keys = slices.Clone(t.shapes[0])
+	for _, s := range t.shapes {
+		if s == nil {
+			t.keys = nil
+			return
+		}
+		t.keys = slices.DeleteFunc(t.keys, func(k string) bool { return !slices.Contains(s, k) })
 	}
-	*t = Tenants{text, count, keys, xxhash.Sum64(text), true}
-	return nil
 }
 
 // Len is how many entries the list has.
 func (t *Tenants) Len() int { return t.count }
 
-// Differ says that another list is told by another text.
+// Differ says that another list tells other tenants, or tells them otherwise.
 func (t *Tenants) Differ(other *Tenants) bool {
 	return t.told != other.told || t.sum != other.sum || t.count != other.count
 }
@@ -103,172 +163,121 @@
 // Into enters the list in a table and gives back what it took itself. The entries that an earlier list entered there, and
 // this one does not name, go out; those with a revision are somebody else's and stay as they are. The round has to differ
 // from list to list.
-func (t *Tenants) Into(table *tenants.Table, round uint32) error {
-	before := table.Len()
-	_, err := eachTenant(t.text, func(_ int, e *entry) error {
-		if revision, _, ok := table.At(string(e.name)); !ok || revision == 0 {
-			table.Put(string(e.name), tenants.Terms{Quota: e.quota, Share: e.share}, 0, round)
-		}
-		return nil
-	})
-	if t.text = nil; before == 0 {
-		return err
-	}
-	looked := 0
-	for name := range table.All() {
+func (t *Tenants) Into(table *tenants.Table, round uint32) {
+	before, looked := table.Len(), 0
+	turn := func() {
 		if looked++; looked%between == 0 {
 			runtime.Gosched()
 		}
+	}
+	for i := range t.entries {
+		block := t.entries[i : i+1]
+		for r := range block.all() {
+			if revision, _, ok := table.At(string(r.name)); !ok || revision == 0 {
+				table.Put(string(r.name), tenants.Terms{Quota: r.quota, Share: r.share}, 0, round)
+			}
+			turn()
+		}
+		block[0] = nil
+	}
+	if t.release(); before == 0 {
+		return
+	}
+	for name := range table.All() {
+		turn()
 		if revision, sum, ok := table.At(name); ok && revision == 0 && sum != round {
 			table.Delete(name)
 		}
 	}
-	return err
 }
 
+// release gives back what is held of the entries.
+func (t *Tenants) release() { t.entries, t.shapes = nil, nil }
+
 // lacks names a key of those that all entries of a list have, which an entry of this one has not; "": none.
-func (t *Tenants) lacks(at string, keys []string) (missing string) {
-	if keys == nil || t.count == 0 || t.keys != nil && !slices.ContainsFunc(keys, func(k string) bool { return !slices.Contains(t.keys, k) }) {
+func (t *Tenants) lacks(at string, keys []string) string {
+	if keys == nil {
 		return ""
 	}
-	eachTenant(t.text, func(i int, e *entry) error {
-		if !e.object {
-			missing = fmt.Sprintf("%s[%d]", at, i)
-		} else if k := slices.IndexFunc(keys, func(k string) bool { return !e.has(k) }); k >= 0 {
-			missing = fmt.Sprintf("%s[%d].%s", at, i, keys[k])
+	missing := make([]string, len(t.shapes)) // behind an entry's place; "": nothing
+	for i, s := range t.shapes {
+		if s == nil {
+			missing[i] = "]"
+		} else if k := slices.IndexFunc(keys, func(k string) bool { return !slices.Contains(s, k) }); k >= 0 {
+			missing[i] = "]." + keys[k]
 		}
-		if missing != "" {
-			return errors.New("enough")
+	}
+	if !slices.ContainsFunc(missing, func(m string) bool { return m != "" }) {
+		return ""
+	}
+	i := 0
+	for r := range t.entries.all() {
+		if m := missing[r.shape]; m != "" {
+			return fmt.Sprintf("%s[%d%s", at, i, m)
 		}
-		return nil
-	})
-	return missing
+		i++
+	}
+	return ""
 }
 
-// entry is a tenant on its way out of a list's text.
+// entry is a tenant as a list tells it; one serves for reading all of them.
 type entry struct {
-	name         []byte
-	quota, share float64
-	object       bool
-	keys         [][]byte
+	Tenant
+	shape shape
+	fault error // it is no tenant
 }
 
-func (e *entry) has(key string) bool {
-	return slices.ContainsFunc(e.keys, func(k []byte) bool { return string(k) == key })
-}
+// usual is the shape of nearly all entries, in order.
+var usual = shape{"name", "quota_per_s", "share"}
 
-// between is how many entries are read before others have a turn: the calls of a process that reads a long list again shall
-// wait for a part of a millisecond.
-const between = 256
+// untold is what no text can tell: no string of JSON is malformed, and no number is none.
+var untold = Tenant{"\xff", math.NaN(), math.NaN()}
 
-// eachTenant reads a list entry by entry; what it gives is good until the next. It accepts what encoding/json would.
-func eachTenant(text []byte, each func(i int, e *entry) error) (count int, err error) {
-	if len(text) == 0 {
-		return 0, nil
-	}
-	s, e := scan{text: text}, entry{}
-	if !s.take('[') {
-		return 0, errors.New("tenants is no list")
-	}
-	for open := !s.take(']'); open; count++ {
-		from, to, ok := s.value()
-		if !ok {
-			return count, fmt.Errorf("tenants[%d] is malformed", count)
-		}
-		if err := e.parse(text[from:to]); err != nil {
-			return count, fmt.Errorf("tenants[%d]: %w", count, err)
-		}
-		if err := each(count, &e); err != nil {
-			return count, err
-		}
-		if open = s.take(','); !open && !s.take(']') {
-			return count, fmt.Errorf("tenants: no comma or end behind [%d]", count)
-		}
-		if count%between == between-1 {
-			runtime.Gosched()
+// read takes the next entry of a list. An error is one of the text.
+func (e *entry) read(in *stream) error {
+	begin := in.InputOffset()
+	*e = entry{Tenant: untold, shape: usual}
+	if err := in.Decode(&e.Tenant); err != nil {
+		if wrong := (*json.UnmarshalTypeError)(nil); !errors.As(err, &wrong) {
+			return err
 		}
+		e.fault = err
+		return nil
 	}
-	if s.space(); s.i < len(text) {
-		return count, errors.New("tenants: there is more behind the list")
-	}
-	return count, nil
-}
-
-var tenantKeys = []string{"name", "quota_per_s", "share"}
-
-// parse takes an entry apart. What is not written the plain way is left to encoding/json.
-func (e *entry) parse(text []byte) error {
-	*e = entry{keys: e.keys[:0]}
-	plain := true
-	whole := text[0] == '{' && members(text, func(key []byte, from, to int) {
-		name, ok := plainString(key)
-		if !ok {
-			plain = false
-			return
-		}
-		e.keys = append(e.keys, name)
-		value := text[from:to]
-		switch string(name) {
-		case "name":
-			e.name, ok = plainString(value)
-		case "quota_per_s":
-			e.quota, ok = plainNumber(value)
-		case "share":
-			e.share, ok = plainNumber(value)
-		default:
-			ok = json.Valid(value) && !slices.ContainsFunc(tenantKeys, func(k string) bool { return strings.EqualFold(k, string(name)) })
-		}
-		plain = plain && ok
-	})
-	if e.object = whole; whole && plain {
+	text := in.since(begin)
+	if e.plain(text) {
 		return nil
 	}
-	var t Tenant
-	if err := json.Unmarshal(text, &t); err != nil {
-		return err
+	if e.Name == untold.Name {
+		e.Name = ""
 	}
-	e.name, e.quota, e.share, e.keys = []byte(t.Name), t.Quota, t.Share, e.keys[:0]
-	var keys map[string]json.RawMessage
-	if e.object = text[0] == '{'; e.object {
-		if err := json.Unmarshal(text, &keys); err != nil {
-			return err
-		}
-		for k := range keys {
-			e.keys = append(e.keys, []byte(k))
-		}
+	if math.IsNaN(e.Quota) {
+		e.Quota = 0
 	}
-	return nil
-}
-
-// plainString is what a string holds if that is what is written.
-func plainString(text []byte) (inner []byte, ok bool) {
-	if len(text) < 2 || text[0] != '"' || text[len(text)-1] != '"' {
-		return nil, false
+	if math.IsNaN(e.Share) {
+		e.Share = 0
 	}
-	inner = text[1 : len(text)-1]
-	for _, c := range inner {
-		if c < ' ' || c == '"' || c == '\\' {
-			return nil, false
-		}
+	var keys map[string]named
+	e.fault = json.Unmarshal(bytes.TrimLeft(text, ", \n\t\r"), &keys)
+	if e.shape = nil; keys != nil {
+		e.shape = slices.AppendSeq(shape{}, maps.Keys(keys))
+		slices.Sort(e.shape)
 	}
-	return inner, utf8.Valid(inner)
+	return nil
 }
 
-// plainNumber is a number without an exponent.
-func plainNumber(text []byte) (v float64, ok bool) {
-	digits := bytes.TrimPrefix(text, []byte("-"))
-	point := len(digits)
-	for i, c := range digits {
-		switch {
-		case c == '.' && point == len(digits):
-			point = i
-		case c < '0' || c > '9':
-			return 0, false
-		}
-	}
-	if point == 0 || point > 1 && digits[0] == '0' || point == len(digits)-1 {
-		return 0, false
-	}
-	v, err := strconv.ParseFloat(string(text), 64)
-	return v, err == nil
+// plain says that an entry, read from a sound text, has the usual keys and nothing else. All were told, so that a text with
+// four strings has no more than those keys, in whatever case, and the name.
+func (e *entry) plain(text []byte) bool {
+	return e.Name != untold.Name && !math.IsNaN(e.Quota) && !math.IsNaN(e.Share) && !slices.Contains(usual, e.Name) &&
+		bytes.Count(text, []byte{'"'}) == 8 &&
+		!slices.ContainsFunc(quoted, func(key []byte) bool { return !bytes.Contains(text, key) })
 }
+
+// quoted are the usual keys as a text has them.
+var quoted = [][]byte{[]byte(`"name"`), []byte(`"quota_per_s"`), []byte(`"share"`)}
+
+// named stands for a value of which the key alone counts.
+type named struct{}
+
+func (named) UnmarshalJSON([]byte) error { return nil }
--- a/internal/config/tenants_test.go
+++ b/internal/config/tenants_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"os"
@@ -12,7 +13,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"pewterrudder/internal/tenants"
 )
@@ -45,10 +48,9 @@
 	if err := t.UnmarshalJSON(bytes.Trim(text, " \n\r\t")); err != nil {
 		return nil, err
 	}
-	_, err = eachTenant(t.text, func(_ int, e *entry) error {
-		list = append(list, Tenant{string(e.name), e.quota, e.share})
-		return nil
-	})
+	for r := range t.entries.all() {
+		list = append(list, Tenant{string(r.name), r.quota, r.share})
+	}
 	if len(list) != t.Len() {
 		return list, fmt.Errorf("%d entries, and it says %d", len(list), t.Len())
 	}
@@ -113,6 +115,103 @@
 	}
 }
 
+// The keys that an entry is told by are noted as encoding/json finds them, in whatever pieces a text comes.
+func TestEntriesHaveTheKeysTheyAreToldBy(t *testing.T) {
+	texts := []string{someTenants, `[{"name":"a","quota_per_s":1,"share":2},{"share":2,"name":"a","quota_per_s":1}]`,
+		`[{"name":"share","quota_per_s":1,"SHARE":2}]`, `[{"NAME":"quota_per_s","quota_per_s":1,"share":2}]`, `[{"name":"name","Quota_per_s":1,"share":2}]`,
+		`[{"Name":"a","quota_per_s":1,"share":2}]`, `[{"name":"a","quota_per_s":1,"share":null},{"name":null,"quota_per_s":1,"share":2}]`,
+		`[{"name":"a","quota_per_s":1,"share":2,"":3}]`, `[{"name":"a","quota_per_s":1,"share":2,"name":"b"}]`, `[{"name":"a","quota_per_s":1,"share":2,"share":3}]`,
+		`[{"name":"a","quota_per_s":1,"\u0073hare":2}]`, `[{"name":"a\"","quota_per_s":1,"share":2}]`, `[{}, null , {"share":1},null,{}]`,
+		`[{"a\",\"b":1},{"a":1,"b":1},{"a\u0000b":1}]`, `[{"more":"quota_per_s","name":"a","share":1}]`}
+	rng := rand.New(rand.NewPCG(3, 3))
+	for range 10_000 {
+		text := []byte(texts[rng.IntN(15)])
+		if text = damage(rng, text); json.Valid(text) {
+			texts = append(texts, string(text))
+		}
+	}
+	compared := 0
+	for _, text := range texts {
+		if _, err := plainly([]byte(text)); err != nil || text[0] != '[' {
+			continue
+		}
+		var want []map[string]any
+		if err := json.Unmarshal([]byte(text), &want); err != nil {
+			t.Fatal(err)
+		}
+		for _, from := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+			in := newStream(from)
+			var list Tenants
+			if _, err := in.Token(); err != nil {
+				t.Fatal(err)
+			}
+			if fault, err := list.read(in); fault != nil || err != nil || list.Len() != len(want) {
+				t.Fatalf("%s: %v, %v, %d entries of %d", text, fault, err, list.Len(), len(want))
+			}
+			i := 0
+			for r := range list.entries.all() {
+				got := list.shapes[r.shape]
+				if (got == nil) != (want[i] == nil) || !slices.Equal(got, slices.Sorted(maps.Keys(want[i]))) {
+					t.Fatalf("%s: [%d] has %q, want %v", text, i, got, want[i])
+				}
+				i++
+			}
+		}
+		compared++
+	}
+	if compared < 1_000 {
+		t.Errorf("%d compared", compared)
+	}
+}
+
+// A list that is longer than what is read at a time is read apart from its file, whatever lies around it, and a fault in it is
+// named, though what follows is read too.
+func TestALongListIsReadApart(t *testing.T) {
+	var long []Tenant
+	for i := range 20_000 {
+		long = append(long, Tenant{strconv.Itoa(i) + strings.Repeat("x", i%70), float64(i), 1 / float64(i+1)})
+	}
+	list, err := json.Marshal(TenantsOf(long))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	whole := strings.Replace(withTenants(string(list)), `{"name":"n3"`, ` {"known":["`+strings.Repeat("k", 3*readBytes)+`"], "name":"n3"`, 1)
+	if err := os.WriteFile(path, []byte(whole), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text, got, apart, fault, err := readApart(path)
+	if err != nil || fault != nil || !apart || string(text) != strings.Replace(whole, string(list), "null", 1) {
+		t.Fatalf("%v, %v, %d bytes of %d", err, fault, len(text), len(whole))
+	}
+	if again, err := json.Marshal(got); err != nil || !bytes.Equal(again, list) {
+		t.Errorf("%v, or another list is read", err)
+	}
+	bad := strings.Replace(strings.Replace(whole, `"quota_per_s":7,`, `"quota_per_s":-7,`, 1), `"quota_per_s":9,`, `"quota_per_s":"9",`, 1)
+	if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if text, _, apart, fault, err = readApart(path); err != nil || !apart || len(text) > 4*readBytes || fault == nil || !strings.HasPrefix(fault.Error(), "tenants[7].quota_per_s: -7") {
+		t.Errorf("%v, %v, %d bytes", err, fault, len(text))
+	}
+	if _, err := Load(func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] }); err == nil || !strings.Contains(err.Error(), "settings: conf: tenants[7].quota_per_s") {
+		t.Errorf("a list with a fault: %v", err)
+	}
+}
+
+// A configuration may come through a pipe, which is read once.
+func TestTenantsComeThroughAPipe(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	go os.WriteFile(path, []byte(withTenants(someTenants)), 0)
+	c, err := Load(func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] })
+	if err != nil || c.Tenants.Len() != 3 {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
 // lacksPlainly is the comparison of keys on all that encoding/json makes of two texts, without anything of ours.
 func lacksPlainly(at string, had, has any) string {
 	switch had := had.(type) {
@@ -180,6 +279,7 @@
 	texts := []string{inForce, strings.Replace(withTenants(someTenants), `"zone":"a",`, `"zone":"a","Tenants":[{"name":"last"}],`, 1),
 		strings.Replace(withTenants(someTenants), `"discovery":"ask",`, `"Tenants":[{"name":"last"}],"discovery":"ask",`, 1), strings.Replace(withTenants(someTenants), `"tenants"`, `"Tenants"`, 1), strings.Replace(withTenants(someTenants), `"tenants"`, `"t\u0065nants"`, 1),
 		strings.Replace(withTenants(someTenants), `"zone":"a",`, `"zone":"a","tenants":[{"name":"first"}],`, 1), strings.Replace(withTenants(someTenants), `"settings":`, `"settings":{"tenants":[5]},"settings":`, 1),
+		strings.Replace(inForce, `"settings":`, `"settings":{"tenants":[{"name":"before"}]},"settings":`, 1),
 		strings.Replace(withTenants(someTenants), `"tenants":`, `"tenants":x`, 1), strings.Replace(withTenants(`[]`), `[]`, `[]x`, 1)}
 	for _, list := range lists {
 		texts = append(texts, withTenants(list))
@@ -208,9 +308,7 @@
 			t.Fatal(err)
 		}
 		table := new(tenants.Table)
-		if err := c.Tenants.Into(table, 1); err != nil {
-			t.Fatal(err)
-		}
+		c.Tenants.Into(table, 1)
 		for k, text := range texts {
 			if k >= len(whole) && k%len(whole) != i {
 				continue
@@ -251,9 +349,7 @@
 				for _, e := range list {
 					want[e.Name] = tenants.Terms{Quota: e.Quota, Share: e.Share}
 				}
-				if err := next.Tenants.Into(table, uint32(k+2)); err != nil {
-					t.Fatal(err)
-				}
+				next.Tenants.Into(table, uint32(k+2))
 				got := map[string]tenants.Terms{}
 				for name, held := range table.All() {
 					got[name] = held.Terms
@@ -277,17 +373,13 @@
 	table.Put("theirs", tenants.Terms{Quota: 1}, 17, 3)
 	table.Put("both", tenants.Terms{Quota: 2}, 18, 4)
 	first := TenantsOf([]Tenant{{"own", 5, 0}, {"both", 6, 0}, {"twice", 7, 0}, {"twice", 8, 0}, {"goes", 9, 0}})
-	if err := first.Into(table, 1); err != nil {
-		t.Fatal(err)
-	}
+	first.Into(table, 1)
 	own, _ := table.Find("own")
 	second := TenantsOf([]Tenant{{"comes", 1, 0}, {"own", 50, 0.5}, {"twice", 8, 0}})
 	if !first.Differ(&second) || second.Differ(&second) {
 		t.Error("lists that differ do not, or one that does not does")
 	}
-	if err := second.Into(table, 2); err != nil {
-		t.Fatal(err)
-	}
+	second.Into(table, 2)
 	got := map[string]float64{}
 	for name, held := range table.All() {
 		got[name] = held.Quota
@@ -309,20 +401,18 @@
 	if err != nil || !c.Tenants.Differ(&next.Tenants) {
 		t.Fatalf("%v", err)
 	}
-	if err := next.Tenants.Into(new(tenants.Table), 2); err != nil {
-		t.Fatal(err)
-	}
-	if next.Tenants.text != nil {
-		t.Error("the text is kept of a list that is in a table")
+	next.Tenants.Into(new(tenants.Table), 2)
+	if next.Tenants.entries != nil {
+		t.Error("entries are kept of a list that is in a table")
 	}
 	c.Keep(next)
-	if c.Tenants.text != nil || len(c.text) > len(inForce)+40 || len(c.Raw) > len(inForce) || !reflect.DeepEqual(c.Settings.Tenants, Tenants{}) {
-		t.Errorf("%d bytes of text, %d of the settings and %d of tenants are kept", len(c.text), len(c.Raw), len(c.Tenants.text))
+	if c.Tenants.entries != nil || len(c.text) > len(inForce)+40 || len(c.Raw) > len(inForce) || !reflect.DeepEqual(c.Settings.Tenants, Tenants{}) {
+		t.Errorf("%d bytes of text, %d of the settings and %d blocks of tenants are kept", len(c.text), len(c.Raw), len(c.Tenants.entries))
 	}
 	if same, err := reload(withTenants(someTenants)); err != nil || c.Tenants.Differ(&same.Tenants) {
 		t.Errorf("the same again: %v", err)
-	} else if c.Keep(same); c.Tenants.text != nil {
-		t.Error("the text is kept of a list that was in the table already")
+	} else if c.Keep(same); c.Tenants.entries != nil {
+		t.Error("entries are kept of a list that was in the table already")
 	}
 	if _, err := reload(strings.Replace(withTenants(someTenants), `"quota_per_s":5,`, "", 1)); err == nil || !strings.Contains(err.Error(), "settings.tenants[0].quota_per_s is missing") {
 		t.Errorf("%v", err)
@@ -337,12 +427,15 @@
 	for i := range list {
 		list[i] = Tenant{fmt.Sprintf("tenant-%09d", i), float64(i % 100), 1 / float64(i+1)}
 	}
-	made := TenantsOf(list)
-	b.SetBytes(int64(len(made.text)))
+	text, err := json.Marshal(TenantsOf(list))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(text)))
 	b.ReportAllocs()
 	for b.Loop() {
 		var t Tenants
-		if err := t.read(made.text); err != nil {
+		if err := t.UnmarshalJSON(text); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -208,7 +208,8 @@
 	}
 	inst := &instance{node: node}
 	inst.classes = c.Places()
-	return inst, c.Tenants.Into(&inst.tenants, 1)
+	c.Tenants.Into(&inst.tenants, 1)
+	return inst, nil
 }
 
 // event translates one item; nil for an event that says nothing to a node.
