--- a/internal/config/tenants_test.go
+++ b/internal/config/tenants_test.go
@@ -83,7 +83,8 @@
 		`[{"share":1e400}]`, `[{"share":01}]`, `[{"share":1.}]`, `[{"share":.5}]`, `[{"share":+1}]`, `[{"share":0x1p2}]`, `[{"share":1_0}]`,
 		`[{"share":-}]`, `[{"share":--1}]`, `[{"share":1.5.5}]`, `[{"share":NaN}]`, `[{"share":"1"}]`, `[{"name":5}]`, `[{"name":"x",}]`, `[{"name":"x"},]`, `[,]`, `[1]`, `["x"]`, `[[]]`,
 		`{}`, `5`, `""`, `[`, `]`, `[{`, `[{"`, `[{"name"`, `[{"name":`, `[{"name":"x"`, `[{"name":"x"}`, `[{"name":"x"}] x`, `[{"name":"x"}{"name":"y"}]`, `[{"name" "x"}]`, `[{"more":tru}]`, `[{"more":[1,]}]`, `[{"more":[}]`, `[{"quota_per_s":-1}]`,
-		`[{"quota_per_s":123456789012345678901234567890.000000000000000001,"share":-0.0}]`, `[{"":1}]`, `[{"name":"x"}]]`, `[{"name":"x"}}]`}
+		`[{"quota_per_s":123456789012345678901234567890.000000000000000001,"share":-0.0}]`, `[{"":1}]`, `[{"name":"x"}]]`, `[{"name":"x"}}]`,
+		`[{"name":"x","quota_per_s":null,"share":2}]`, `[{"name":"x","quota_per_s":1,"share":null}]`}
 	rng := rand.New(rand.NewPCG(5, 5))
 	for range 40_000 {
 		text := []byte(texts[rng.IntN(8)])
