Let rudderlab scale divide the fleet into pools, and count the memory of all of it

Seen: 108 bytes for each of 26,000 app nodes. Cause: since lists come in slices, the first event enters 100 entries, and the heap was read behind that one. Now it is read when the whole list is in. The other figures are taken as before.

TestPoolsDivideTheFleet is new; it cannot be built without the change, so it was not seen failing. Other tests pass the number of pools along, and TestBudgets has two more that must be refused.

--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -15,6 +15,7 @@
 	"pewterrudder/brain"
 	"pewterrudder/internal/lab/chance"
 	"pewterrudder/internal/reducer"
+	"pewterrudder/internal/selector"
 )
 
 // The site: what the balancers of one with small answers are told. Nothing here hangs on the fleet's size.
@@ -80,9 +81,23 @@
 	return e
 }
 
-func newRig(seed uint64) (*rig, error) {
+// layout divides the fleet by kinds. Calls go to the pools by turns.
+func layout(pools int) reducer.Layout {
+	l := reducer.Layout{Route: func(c *reducer.Call) int { return int(c.ID % uint64(pools)) }}
+	for i := range pools {
+		l.Pools = append(l.Pools, reducer.PoolSpec{Name: kind(i), Selector: selector.Selector{Kinds: []string{kind(i)}}})
+	}
+	return l
+}
+
+// newRig makes one with so many pools, or with one of all app nodes.
+func newRig(seed uint64, pools int) (*rig, error) {
 	src := chance.New(seed)
-	red, err := reducer.New(settings(), src.Number("module"), budget)
+	l := reducer.Layout{Pools: []reducer.PoolSpec{{Name: "all"}}}
+	if pools > 1 {
+		l = layout(pools)
+	}
+	red, err := reducer.NewLaid(settings(), src.Number("module"), budget, l)
 	if err != nil {
 		return nil, fmt.Errorf("scale: %w", err)
 	}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -22,6 +22,7 @@
 // Budget says how often each thing is timed. A row ends early where its lists have taken Most.
 type Budget struct {
 	Sizes   []int         `json:"sizes"`
+	Pools   int           `json:"pools"` // that the fleet is divided into, by kinds; 0: one of all
 	Changes int           `json:"changes"`
 	Lists   int           `json:"lists"` // whole ones, and ones with half replaced
 	Calls   int           `json:"calls"`
@@ -66,13 +67,17 @@
 
 // Result is the table.
 type Result struct {
-	Go   string `json:"go"`
-	CPUs int    `json:"cpus"`
-	Rows []Row  `json:"rows"`
+	Go    string `json:"go"`
+	CPUs  int    `json:"cpus"`
+	Pools int    `json:"pools"`
+	Rows  []Row  `json:"rows"`
 }
 
 // Check finds a budget that cannot be run.
 func (b Budget) Check() error {
+	if b.Pools < 0 || b.Pools > reducer.PoolsMost || len(b.Sizes) > 0 && slices.Min(b.Sizes) < b.Pools {
+		return fmt.Errorf("scale: pools from 0 to %d, and an app node for each, are needed", reducer.PoolsMost)
+	}
 	if len(b.Sizes) == 0 || slices.Min(b.Sizes) < 2 || b.Changes < 3 || b.Lists < 1 || b.Calls < 1 {
 		return errors.New("scale: sizes from 2 on, and at least 3 changes, 1 list and 1 call are needed")
 	}
@@ -84,7 +89,7 @@
 	if err := b.Check(); err != nil {
 		return nil, err
 	}
-	r := &Result{Go: runtime.Version(), CPUs: runtime.NumCPU()}
+	r := &Result{Go: runtime.Version(), CPUs: runtime.NumCPU(), Pools: b.Pools}
 	for i, n := range b.Sizes {
 		row, err := measure(n, b)
 		if err != nil {
@@ -102,6 +107,7 @@
 type fleet struct {
 	members   []brain.Member
 	addresses []string
+	kinds     int
 	made      int
 	revision  int64
 }
@@ -112,7 +118,7 @@
 	if f.made%2 == 0 {
 		zone = "b"
 	}
-	return brain.Member{Server: "s-" + strconv.Itoa(f.made), Zone: zone, Kind: "m1", Cell: f.made / 8,
+	return brain.Member{Server: "s-" + strconv.Itoa(f.made), Zone: zone, Kind: kind(f.made % f.kinds), Cell: f.made / 8,
 		Weight: 1 + float64(f.made%4)/4, Started: started}
 }
 
@@ -120,8 +126,11 @@
 	return "10." + strconv.Itoa(i>>16) + "." + strconv.Itoa(i>>8&255) + "." + strconv.Itoa(i&255) + ":80"
 }
 
-func newFleet(n int) *fleet {
-	f := &fleet{}
+// kind is the name of a kind, which is also that of its pool.
+func kind(i int) string { return "m" + strconv.Itoa(1+i) }
+
+func newFleet(n, pools int) *fleet {
+	f := &fleet{kinds: max(1, pools)}
 	for range n {
 		f.members = append(f.members, f.member(0))
 		f.addresses = append(f.addresses, address(f.made))
@@ -151,12 +160,13 @@
 	var f *fleet
 	var err error
 	for range 2 { // the first makes what is made once
-		if g, err = newRig(uint64(n)); err != nil {
+		if g, err = newRig(uint64(n), b.Pools); err != nil {
 			return row, err
 		}
-		f = newFleet(n)
+		f = newFleet(n, b.Pools)
 		before := heapInUse()
 		g.handle(reducer.Started{Known: f.list(true), Discovery: "scale"})
+		g.until(g.now + atOnce) // the rest of its slices
 		row.BytesPerNode = float64(int64(heapInUse())-int64(before)) / float64(n)
 	}
 	for range 2000 { // connections are made, and the module learns
@@ -249,6 +259,9 @@
 
 // Table prints the rows, and then the pages.
 func (r *Result) Table(w io.Writer) {
+	if r.Pools > 0 {
+		fmt.Fprintf(w, "%d pools\n", r.Pools)
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "nodes\tchange_us\tfull_ms\tlongest_block_ms\trequest_us\tbytes_per_node\t")
 	for _, row := range r.Rows {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -37,11 +37,11 @@
 
 // A list belongs to what the reducer sets for at once, and not to what it sets for later.
 func TestTakeFollowsWhatIsDueAtOnce(t *testing.T) {
-	g, err := newRig(1)
+	g, err := newRig(1, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFleet(4)
+	f := newFleet(4, 0)
 	g.handle(reducer.Started{Known: f.list(true), Discovery: "scale"})
 	g.rest()
 	g.due = nil
@@ -59,11 +59,11 @@
 
 // A replaced entry is another's at the same address, and the reducer drops the one that was there.
 func TestReplacedEntriesAreDropped(t *testing.T) {
-	g, err := newRig(1)
+	g, err := newRig(1, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFleet(2)
+	f := newFleet(2, 0)
 	g.handle(reducer.Started{Known: f.list(true), Discovery: "scale"})
 	first := f.members[0].Server
 	g.now += time.Hour
@@ -81,9 +81,42 @@
 	}
 }
 
+// Divided into pools, all that is measured is the same, each app node is of one pool, and calls are answered by all of them.
+func TestPoolsDivideTheFleet(t *testing.T) {
+	r, err := Run(Budget{Sizes: []int{40}, Pools: 20, Changes: 9, Lists: 2, Calls: 500, Most: time.Minute}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if row := r.Rows[0]; r.Pools != 20 || row.Change.Times != 9 || row.Request.Times != 500 || row.FullMs <= 0 {
+		t.Errorf("%+v", r)
+	}
+	g, err := newRig(1, 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.handle(reducer.Started{Known: newFleet(60, 20).list(true), Discovery: "scale"})
+	g.until(g.now + atOnce)
+	names, members, _ := g.red.Pools()
+	for i, n := range members {
+		if n != 3 {
+			t.Errorf("pool %s has %d app nodes", names[i], n)
+		}
+	}
+	for range 200 {
+		g.call()
+	}
+	g.rest()
+	var served uint64
+	g.red.Handle(g.now, reducer.Look{To: func(v reducer.View) { served = v.Served }}, nil)[0].(reducer.Tell).Do()
+	if len(members) != 20 || served != 200 {
+		t.Errorf("%d pools served %d of 200 calls", len(members), served)
+	}
+}
+
 func TestBudgets(t *testing.T) {
 	for _, b := range []Budget{{}, {Sizes: []int{1}, Changes: 3, Lists: 1, Calls: 1}, {Sizes: []int{10}, Changes: 2, Lists: 1, Calls: 1},
-		{Sizes: []int{10}, Changes: 3, Calls: 1}, {Sizes: []int{10}, Changes: 3, Lists: 1}} {
+		{Sizes: []int{10}, Changes: 3, Calls: 1}, {Sizes: []int{10}, Changes: 3, Lists: 1}, {Sizes: []int{10}, Pools: 11, Changes: 3, Lists: 1, Calls: 1},
+		{Sizes: []int{10000}, Pools: reducer.PoolsMost + 1, Changes: 3, Lists: 1, Calls: 1}} {
 		if _, err := Run(b, nil); err == nil {
 			t.Errorf("%+v is taken", b)
 		}
