Exchange whole views the less often the more members there are, and measure 150 and more

Seen: rudderlab peers-cost with 150, 200 and 300 others ended with "it knows 0" (62 of 150 when tried again). Cause, on the lab's side: its crowd was of whole members, each of which probed another all 150 ms and exchanged views, all in one process. With 50 on four shared cores (trial) the members knew 30 to 50 of each other and said 12 MB of words in 4 s, since acks came after the 100 ms that a probe waits; with 150 on one core they knew 8 on average after 4 s and 59 after 20 s. Ruled out: descriptors (two each of 20,000) and the size of a view (one stream, 20 MB at the most). The crowd now answers, and does to the process under test what so many would: a probe each interval and an exchange each pause, drawn from all; nothing to itself (peers.Options.Passive, Ping, Exchange). It also sees to it that its members know each other first, and says if not.

Whole views took bytes in proportion to the fleet, since the library's pause grows by the logarithm alone. The member now exchanges by itself, each 4 s up to 16 members, as before for a dozen, and each 4 s x members/16 beyond: some eight entries a second at every size. What a split has kept apart is found by the search for who was lost, not by this: in virtual time 48 members in two halves for a minute agree 4.0 s after its end. Streams are counted now (views_bytes).

Seen failing: the pause's test and the bytes' with a pause of 4 s; the split's with the search left out; the crowd's with members that aren't passive (2636 packets in a second among themselves). TestAThousand counts for as long as a pause, where it was 10 s, and bounds whole views as well.

--- a/internal/fleet/peers/many_test.go
+++ b/internal/fleet/peers/many_test.go
@@ -19,10 +19,12 @@
 
 var members = flag.Int("members", 40, "of the fleet in virtual time")
 
-// air carries packets and streams between members of one process, in virtual time: 1 ms there, nothing to the dead.
+// air carries packets and streams between members of one process, in virtual time: 1 ms there, nothing to the dead, and nothing
+// between the halves of a split.
 type air struct {
-	mu   sync.Mutex
-	ends map[string]*end
+	mu    sync.Mutex
+	ends  map[string]*end
+	split bool
 }
 
 // end is the transport of one member.
@@ -32,6 +34,7 @@
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	dead    bool
+	other   bool // half
 }
 
 func (a *air) end(at string) *end {
@@ -45,7 +48,7 @@
 func (a *air) find(from, to string) *end {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if e := a.ends[to]; e != nil && !e.dead && !a.ends[from].dead {
+	if e := a.ends[to]; e != nil && !e.dead && !a.ends[from].dead && !(a.split && e.other != a.ends[from].other) {
 		return e
 	}
 	return nil
@@ -114,6 +117,79 @@
 	}
 }
 
+// Whole views are exchanged the less often the more members there are, so that their bytes don't grow with the fleet.
+func TestWholeViewsTakeNoMoreInALargeFleet(t *testing.T) {
+	for members, want := range map[int]time.Duration{1: exchangeEvery, 12: exchangeEvery, 16: exchangeEvery, 32: 2 * exchangeEvery, 3000: 750 * time.Second} {
+		if got := ExchangePause(members); got != want {
+			t.Errorf("%d members: %v, not %v", members, got, want)
+		}
+	}
+}
+
+// What a split has kept apart finds together, though views are exchanged seldom: who was lost is looked for.
+func TestHalvesAgreeAfterASplit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 48
+		a := &air{ends: map[string]*end{}}
+		fleet, known := make([]*Peers, n), make([]map[string]bool, n)
+		var mu sync.Mutex
+		for i := range n {
+			known[i] = map[string]bool{}
+			own := view.Life{ID: fmt.Sprintf("life %06d", i), Name: fmt.Sprint("balancer ", i), Address: fmt.Sprintf("10.0.0.%d:7946", 1+i), Stamp: 1}
+			e := a.end(own.Address)
+			e.other = i%2 == 1
+			p, err := Join(Options{Settings: config.Peers{Address: own.Address, Site: "site", Keys: []string{keyA}, Seeds: []string{"10.0.0.1:7946", "10.0.0.2:7946"}},
+				Own: own, Transport: e, Known: func() []Known { return nil }, Log: func(string) {}, Post: func(e view.Event) {
+					mu.Lock()
+					defer mu.Unlock()
+					switch e.Kind {
+					case view.Joined:
+						known[i][e.Life.ID] = true
+					case view.Lost, view.Left:
+						delete(known[i], e.Life.ID)
+					}
+				}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			fleet[i] = p
+			time.Sleep(10 * time.Millisecond)
+		}
+		each := func(least, most int) func() bool {
+			return func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return !slices.ContainsFunc(known, func(k map[string]bool) bool { return len(k) < least || len(k) > most })
+			}
+		}
+		until := func(what string, within time.Duration, done func() bool) {
+			t.Helper()
+			for began := time.Now(); !done(); time.Sleep(100 * time.Millisecond) {
+				if time.Since(began) > within {
+					t.Fatalf("%s: not within %v", what, within)
+				}
+			}
+		}
+		until("all know each other", time.Minute, each(n, n))
+		set := func(split bool) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.split = split
+		}
+		set(true)
+		until("each half is alone", time.Minute, each(0, n/2))
+		time.Sleep(time.Minute)
+		set(false)
+		began := time.Now()
+		until("all agree again", 10*time.Second, each(n, n))
+		t.Logf("all agree %.1f s after the end of a split", time.Since(began).Seconds())
+		for _, p := range fleet {
+			p.Close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // A fleet in virtual time: all find each other, all notice a death, and each sends what is told. go test -run Thousand
 // -members 1000 -v gives the figures of a large one.
 func TestAThousand(t *testing.T) {
@@ -162,20 +238,22 @@
 		}
 		t.Logf("%d members know each other %.1f s after the first start", n, time.Since(begin).Seconds())
 		time.Sleep(20 * time.Second) // what is left of the joins
-		count := func() (packets, bytes uint64) {
+		count := func() (packets, bytes, views uint64) {
 			for _, p := range fleet {
 				c := p.Counts()
-				packets, bytes = packets+c.Packets, bytes+c.Bytes
+				packets, bytes, views = packets+c.Packets, bytes+c.Bytes, views+c.Views
 			}
-			return packets, bytes
+			return packets, bytes, views
 		}
-		packets, bytes := count()
-		time.Sleep(10 * time.Second)
-		laterPackets, laterBytes := count()
-		perPackets, perBytes := float64(laterPackets-packets)/10/float64(n), float64(laterBytes-bytes)/10/float64(n)
-		t.Logf("calm: %.1f packets and %.0f bytes a second from each", perPackets, perBytes)
-		if perPackets < 3 || perPackets > 60 || perBytes > 20_000 {
-			t.Errorf("%.1f packets and %.0f bytes a second from each", perPackets, perBytes)
+		packets, bytes, whole := count()
+		during := max(10*time.Second, ExchangePause(n))
+		time.Sleep(during)
+		laterPackets, laterBytes, laterWhole := count()
+		from := func(later, early uint64) float64 { return float64(later-early) / during.Seconds() / float64(n) }
+		perPackets, perBytes, perViews := from(laterPackets, packets), from(laterBytes, bytes), from(laterWhole, whole)
+		t.Logf("calm: %.1f packets and %.0f bytes a second from each, and %.0f of whole views", perPackets, perBytes, perViews)
+		if perPackets < 3 || perPackets > 60 || perBytes > 20_000 || perViews > 3000 || perViews < 100 {
+			t.Errorf("%.1f packets and %.0f bytes a second from each, and %.0f of whole views", perPackets, perBytes, perViews)
 		}
 		died := time.Now()
 		a.kill(address(victim))
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -17,6 +17,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,7 +35,7 @@
 	// member probes another every 150 ms, and no less often where its probes fail (the library waits up to eight times as long then,
 	// and the last of nine deaths was known after 8.7 s). A life that is suspected has a second to say that it runs, twice the
 	// pause that a busy machine was seen to make: that, and not rarer probes, keeps a slow machine from losing the others.
-	probeEvery  = 150 * time.Millisecond
+	ProbeEvery  = 150 * time.Millisecond
 	probeWithin = 100 * time.Millisecond
 	probeSlower = 1
 	suspicion   = 6 // probe intervals, times the logarithm of the fleet
@@ -42,6 +43,12 @@
 	// exchangeEvery is how often a whole view is exchanged with another. Words of who is there are repeated by the logarithm of those
 	// that are known, so that of a dozen that start together one may miss another; it must hear of it before its view is believed.
 	exchangeEvery = 4 * time.Second
+	// exchangeAmong is how many members exchange as often as that. Among more the pause grows in proportion, since a view does: what whole
+	// views take stays at some eight entries a second, a view sent and a view answered each pause. The library's own pause grows by the
+	// logarithm, so that the bytes grew as the fleet. Words in packets are repeated the more, the more members there are.
+	exchangeAmong = 16
+	// passiveProbe is longer than any passive member lives.
+	passiveProbe = 24 * time.Hour
 	// tickEvery is the pace at which a view lets time pass.
 	tickEvery = 500 * time.Millisecond
 	// backEvery is the pause between two tries to reach somebody who is lost, where a dozen live; with more it grows, since each
@@ -72,6 +79,9 @@
 	Patience time.Duration
 	// Transport carries packets and streams in the place of sockets; nil: sockets.
 	Transport memberlist.NodeAwareTransport
+	// Passive has it answer and neither probe nor exchange views by itself: one of a crowd that is there to be heard. Ping and Exchange do
+	// either once.
+	Passive bool
 }
 
 // Known is a fact as it goes from one to another as a whole.
@@ -87,21 +97,23 @@
 	Tries   uint64 `json:"tries"`   // to reach somebody who is lost
 	Packets uint64 `json:"packets"` // that we have sent, and their bytes
 	Bytes   uint64 `json:"bytes"`
+	Views   uint64 `json:"views_bytes"` // that we have sent in streams, which carry whole views
 }
 
 // Peers is a member. Make it with Join, give it back with Close.
 type Peers struct {
-	o     Options
-	list  *memberlist.Memberlist
-	ring  *memberlist.Keyring
-	queue memberlist.TransmitLimitedQueue
-	ended chan struct{}
-	alive context.Context // until Close
-	end   context.CancelFunc
-	once  sync.Once
-	work  sync.WaitGroup
-
-	unread, garbled, tries, packets, bytes atomic.Uint64
+	o      Options
+	list   *memberlist.Memberlist
+	ring   *memberlist.Keyring
+	queue  memberlist.TransmitLimitedQueue
+	ended  chan struct{}
+	closed chan struct{}   // the sockets
+	alive  context.Context // until Close
+	end    context.CancelFunc
+	once   sync.Once
+	work   sync.WaitGroup
+
+	unread, garbled, tries, packets, bytes, views atomic.Uint64
 
 	mu  sync.Mutex
 	own view.Life
@@ -143,7 +155,7 @@
 	if o.Patience == 0 {
 		o.Patience = dialWithin
 	}
-	p := &Peers{o: o, own: o.Own, ended: make(chan struct{}), lost: map[string]time.Time{}}
+	p := &Peers{o: o, own: o.Own, ended: make(chan struct{}), closed: make(chan struct{}), lost: map[string]time.Time{}}
 	p.alive, p.end = context.WithCancel(context.Background())
 	if p.ring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
 		return nil, fmt.Errorf("peers.keys: %w", err)
@@ -151,9 +163,12 @@
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.Keyring = o.Own.ID, o.Settings.Site, p.ring
 	c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = host, port, host, port
-	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = probeEvery, probeWithin, gossipEvery
+	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = ProbeEvery, probeWithin, gossipEvery
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = suspicion, 1, probeSlower
-	c.PushPullInterval, c.TCPTimeout = exchangeEvery, o.Patience
+	c.PushPullInterval, c.TCPTimeout = 0, o.Patience // see exchange
+	if o.Passive {
+		c.ProbeInterval = passiveProbe
+	}
 	c.EnableCompression = false // packets are small, and its tables are not
 	c.DNSConfigPath = ""
 	c.Logger = log.New((*notes)(p), "", 0)
@@ -164,7 +179,8 @@
 			return nil, fmt.Errorf("peers.address: %w", err)
 		}
 	}
-	c.Transport = &road{NodeAwareTransport: bare, p: p}
+	way := &road{NodeAwareTransport: bare, p: p, taken: make(chan net.Conn)}
+	c.Transport = way
 	p.queue.RetransmitMult = 2
 	p.queue.NumNodes = func() int {
 		if p.list == nil {
@@ -177,8 +193,12 @@
 		bare.Shutdown()
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	p.work.Go(way.take)
 	p.work.Go(p.tick)
 	p.work.Go(p.seek)
+	if !o.Passive {
+		p.work.Go(p.exchange)
+	}
 	return p, nil
 }
 
@@ -227,7 +247,7 @@
 
 // Counts are those until now.
 func (p *Peers) Counts() Counts {
-	return Counts{Unread: p.unread.Load(), Garbled: p.garbled.Load(), Tries: p.tries.Load(), Packets: p.packets.Load(), Bytes: p.bytes.Load()}
+	return Counts{Unread: p.unread.Load(), Garbled: p.garbled.Load(), Tries: p.tries.Load(), Packets: p.packets.Load(), Bytes: p.bytes.Load(), Views: p.views.Load()}
 }
 
 // Close says that we leave, for a moment, and closes the sockets.
@@ -241,6 +261,7 @@
 		close(p.ended)
 		p.end() // streams that are under way end with it: nobody's silence holds up our end
 		p.list.Shutdown()
+		close(p.closed)
 		p.work.Wait()
 	})
 }
@@ -258,6 +279,51 @@
 	}
 }
 
+// rest waits for about so long, so that not all do the same at once; false: the member has ended meanwhile.
+func (p *Peers) rest(about time.Duration) bool {
+	timer := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(about)))
+	defer timer.Stop()
+	select {
+	case <-p.ended:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// ExchangePause is the pause between two exchanges of a member among so many, itself counted.
+func ExchangePause(members int) time.Duration {
+	return exchangeEvery * time.Duration(max(members, exchangeAmong)) / exchangeAmong
+}
+
+// exchange exchanges whole views with another, again and again.
+func (p *Peers) exchange() {
+	for {
+		if !p.rest(ExchangePause(p.list.NumMembers())) {
+			return
+		}
+		others := slices.DeleteFunc(p.list.Members(), func(m *memberlist.Node) bool { return m.Name == p.o.Own.ID })
+		if len(others) > 0 {
+			p.Exchange(others[rand.IntN(len(others))].Address())
+		}
+	}
+}
+
+// Exchange exchanges whole views with whoever is at an address.
+func (p *Peers) Exchange(at string) error {
+	_, err := p.list.Join([]string{at})
+	return err
+}
+
+// Ping asks a member for a sign of life.
+func (p *Peers) Ping(id, at string) error {
+	to, err := net.ResolveUDPAddr("udp", at)
+	if err == nil {
+		_, err = p.list.Ping(id, to)
+	}
+	return err
+}
+
 // seek looks for the seeds and for who was lost, one at a time, for as long as there is one that is not here. After a cut nobody
 // else brings the halves together.
 func (p *Peers) seek() {
@@ -267,18 +333,13 @@
 		if first { // all that start at once do not ask at once
 			pause = 200 * time.Millisecond
 		}
-		timer := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(pause)))
-		select {
-		case <-p.ended:
-			timer.Stop()
+		if !p.rest(pause) {
 			return
-		case <-timer.C:
 		}
 		if to := p.missing(); to != "" {
 			p.tries.Add(1)
-			_, err := p.list.Join([]string{to})
 			first = false
-			if err == nil {
+			if p.Exchange(to) == nil {
 				p.found(to)
 			}
 		}
@@ -453,7 +514,32 @@
 // is forwarded, say.
 type road struct {
 	memberlist.NodeAwareTransport
-	p *Peers
+	p     *Peers
+	taken chan net.Conn
+}
+
+// take hands on the streams of others, counted as ours are, until the sockets are closed: their end waits for whoever takes the last.
+func (r *road) take() {
+	for {
+		select {
+		case <-r.p.closed:
+			return
+		case nc := <-r.NodeAwareTransport.StreamCh():
+			select {
+			case r.taken <- r.counted(nc):
+			case <-r.p.closed:
+				nc.Close()
+				return
+			}
+		}
+	}
+}
+
+func (r *road) StreamCh() <-chan net.Conn { return r.taken }
+
+// counted is a stream whose bytes count, and which ends with the member.
+func (r *road) counted(nc net.Conn) net.Conn {
+	return &stream{nc, context.AfterFunc(r.p.alive, func() { nc.Close() }), &r.p.views}
 }
 
 func (r *road) packets(at string) string {
@@ -497,13 +583,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{nc, context.AfterFunc(r.p.alive, func() { nc.Close() })}, nil
+	return r.counted(nc), nil
 }
 
 // stream ends with the member.
 type stream struct {
 	net.Conn
 	forget func() bool
+	sent   *atomic.Uint64
+}
+
+func (s *stream) Write(b []byte) (int, error) {
+	n, err := s.Conn.Write(b)
+	s.sent.Add(uint64(n))
+	return n, err
 }
 
 func (s *stream) Close() error {
--- a/internal/lab/fleet/cost.go
+++ b/internal/lab/fleet/cost.go
@@ -18,7 +18,6 @@
 
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/fleet/peers"
-	"pewterrudder/internal/fleet/view"
 )
 
 // Cost is what one idle process takes that hears so many others.
@@ -31,6 +30,7 @@
 	Files   int     `json:"descriptors"`
 	Packets float64 `json:"packets_per_s"` // that it sends
 	Bytes   float64 `json:"bytes_per_s"`
+	Views   float64 `json:"views_bytes_per_s"` // of whole views, which go in streams
 }
 
 // idleSettings are those of a process that nobody calls.
@@ -70,15 +70,10 @@
 	if err := errors.Join(os.WriteFile(conf, fmt.Appendf(nil, idleSettings, ports[0], ports[1]), 0o600), os.WriteFile(settings, text, 0o600)); err != nil {
 		return c, err
 	}
-	for i := 1; i <= n; i++ {
-		own := set
-		own.Address, own.Seeds = member(i), []string{member(max(1, i/2))}
-		p, err := peers.Join(peers.Options{Settings: own, Own: view.Life{ID: fmt.Sprint("member ", i), Name: fmt.Sprint("member-", i), Stamp: 1},
-			Post: func(view.Event) {}, Known: func() []peers.Known { return nil }, Log: func(string) {}})
-		if err != nil {
-			return c, err
-		}
-		defer p.Close()
+	crowd, err := gather(ctx, n, member, set)
+	defer crowd.close()
+	if err != nil {
+		return c, err
 	}
 	cmd := exec.CommandContext(ctx, program)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+conf, config.SettingsVariable+"="+settings, "TMPDIR="+dir)
@@ -96,7 +91,11 @@
 			return c, fmt.Errorf("it knows %d of %d members: %v", f.Peers.Live, n, err)
 		}
 	}
+	crowd.heard(member(0))
 	time.Sleep(2 * time.Second) // what is left of the joins
+	if n > 0 {
+		during = max(during, 2*peers.ExchangePause(n+1)) // so that whole views are among what is measured
+	}
 	before, err := figuresAt(ctx, ports[1])
 	if err != nil {
 		return c, err
@@ -110,6 +109,7 @@
 		return c, err
 	}
 	c.Packets, c.Bytes = float64(after.Counts.Packets-before.Counts.Packets)/took, float64(after.Counts.Bytes-before.Counts.Bytes)/took
+	c.Views = float64(after.Counts.Views-before.Counts.Views) / took
 	proc := filepath.Join("/proc", strconv.Itoa(cmd.Process.Pid))
 	status, err := os.ReadFile(filepath.Join(proc, "status"))
 	if err != nil {
@@ -129,8 +129,11 @@
 
 // figures are those of the second address that count here.
 type figures struct {
-	Peers  struct{ Live int }              `json:"peers"`
-	Counts struct{ Packets, Bytes uint64 } `json:"peers_counts"`
+	Peers  struct{ Live int } `json:"peers"`
+	Counts struct {
+		Packets, Bytes uint64
+		Views          uint64 `json:"views_bytes"`
+	} `json:"peers_counts"`
 }
 
 func figuresAt(ctx context.Context, at string) (f figures, err error) {
