Follow a store of entries: a route, a pool or a tenant is in force without a reload

With catalog set in the settings file the program follows that store's keys and holds its words in the catalog: pools and routes go to the reducer as Adjusted, tenants straight into the table that calls read. A reading is put in force when it is whole, a change at once. The file's entries hold where the store is silent and come back when an entry goes; a reload brings them anew as those of revision 0, and sends no layout. A store that is away changes nothing. The log says which revision is in force, with the digest and the counts of what is refused, unresolved or shadowed, once a second at most; the second address has the same under catalog, with names.

What the table of tenants had at revision 0 when the store took a name over was lost to a later reading of the files; IntoBeside tells of those names too, and the catalog keeps what they were granted. A mark kept with it proved to have no use, no test could tell it, and went.

Tests, with the lab's store: the real program, asked by a client, through a route that waits for its pool, a bad value, an entry in a file's place, a reload, the store away with removals and a compaction; the wiring alone, through restarts with the same, older and no data, a stall, half a line, and tenants; a reload below the store's words. Each was seen to fail: changes that are not posted, routes that are not posted, a reload that is not handed on, files' terms that are not kept. An event left out by a lying store is not among them: the follower's own tests have that. That a tenant's terms are in force is read from the table, not seen by a client.

--- a/cmd/pewterrudder/counter.go
+++ b/cmd/pewterrudder/counter.go
@@ -23,12 +23,13 @@
 	tries   func() uint64
 	figures atomic.Pointer[reducer.Figures] // as last published
 	fellows fellows                         // nil: none
+	entries *entries                        // nil: none
 	server  *admin.Server
 }
 
 // attend opens the second address and answers there. Where there is none nothing is opened.
-func attend(cfg *config.Config, post func(reducer.Event), is *standing, tries func() uint64, others fellows) (*counter, error) {
-	d := &counter{post: post, is: is, tries: tries, fellows: others}
+func attend(cfg *config.Config, post func(reducer.Event), is *standing, tries func() uint64, others fellows, told *entries) (*counter, error) {
+	d := &counter{post: post, is: is, tries: tries, fellows: others, entries: told}
 	d.figures.Store(new(reducer.Figures))
 	if cfg.Control == "" {
 		return d, nil
@@ -81,7 +82,8 @@
 		Rejected uint64            `json:"config_rejected"`
 		Fleet    *reducer.Fleet    `json:"peers,omitempty"`
 		Packets  any               `json:"peers_counts,omitempty"`
-	}{f.OK, f.Shed, f.Errors, d.tries(), f.Active, f.Listed, f.Avoided, f.Applied, f.Rejected, f.Fleet, d.packets()}
+		Catalog  any               `json:"catalog,omitempty"`
+	}{f.OK, f.Shed, f.Errors, d.tries(), f.Active, f.Listed, f.Avoided, f.Applied, f.Rejected, f.Fleet, d.packets(), d.entries.figures()}
 }
 
 // company is how often it is looked whether another process serves at the same address.
--- a/cmd/pewterrudder/layout.go
+++ b/cmd/pewterrudder/layout.go
@@ -7,16 +7,13 @@
 	"pewterrudder/internal/message"
 	"pewterrudder/internal/reducer"
 	"pewterrudder/internal/routes"
+	"pewterrudder/internal/zones"
 )
 
 // layout gives the routes, pools and zones of the settings file the form that the reducer takes.
 func layout(cfg *config.Config) (reducer.Layout, error) {
 	s := &cfg.Service
-	var classes []string
-	for i := range cfg.Brain.Classes {
-		classes = append(classes, cfg.Brain.Classes[i].Name)
-	}
-	table, err := s.Table(classes)
+	table, err := s.Table(classNames(cfg))
 	if err != nil {
 		return reducer.Layout{}, err
 	}
@@ -27,24 +24,38 @@
 	var l reducer.Layout
 	pools := s.PoolsInForce()
 	for i := range pools {
-		p := &pools[i]
-		l.Pools = append(l.Pools, reducer.PoolSpec{Name: p.Name, Selector: p.Members.Selector(), MaxOpen: p.MaxOpen, Zones: zoned})
+		l.Pools = append(l.Pools, specOf(&pools[i], zoned))
 	}
 	if len(s.Routes) == 0 {
 		return l, nil
 	}
 	fallback := max(0, s.DefaultPool())
 	l.Route = func(c *reducer.Call) int {
-		r := c.Message.(*message.Call).Request
-		entry := table.Match(r.Host, routes.PathOf(r.RequestURI), r.Method, r.Header.Get("X-Class"))
+		entry := table.Match(matchedBy(c))
 		if entry == routes.None {
 			return fallback
 		}
-		return table.Pool(entry, routes.Key(r.Header.Get("Idempotency-Key"), c.Key, c.ClientID))
+		return table.Pool(entry, stickiness(c))
 	}
 	return l, nil
 }
 
+// specOf gives a pool the form that the reducer takes.
+func specOf(p *config.Pool, zoned *zones.Settings) reducer.PoolSpec {
+	return reducer.PoolSpec{Name: p.Name, Selector: p.Members.Selector(), MaxOpen: p.MaxOpen, Zones: zoned}
+}
+
+// matchedBy is what of a call routes are matched by.
+func matchedBy(c *reducer.Call) (host, path, method, class string) {
+	r := c.Message.(*message.Call).Request
+	return r.Host, routes.PathOf(r.RequestURI), r.Method, r.Header.Get("X-Class")
+}
+
+// stickiness is what a call draws its pool of a split by.
+func stickiness(c *reducer.Call) uint64 {
+	return routes.Key(c.Message.(*message.Call).Request.Header.Get("Idempotency-Key"), c.Key, c.ClientID)
+}
+
 // samePools says whether two configurations divide the fleet alike.
 func samePools(a, b *config.Config) bool {
 	x, y := &a.Service, &b.Service
--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -81,6 +81,13 @@
 	if err != nil {
 		return fmt.Errorf("settings file: %w", err)
 	}
+	events := make(chan reducer.Event, backlog)
+	post := func(ev reducer.Event) { events <- ev }
+	tenants := new(tenants.Table)
+	told, err := enter(cfg, tenants, &divided, post)
+	if err != nil {
+		return fmt.Errorf("settings file: %w", err)
+	}
 	state, err := reducer.NewLaid(cfg.Brain, cfg.Prng, delegationBudget, divided)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -89,9 +96,6 @@
 	if stall := flows.Stall(); stall > 0 {
 		state.FixStall(stall)
 	}
-	events := make(chan reducer.Event, backlog)
-	post := func(ev reducer.Event) { events <- ev }
-	tenants := new(tenants.Table)
 	tenantRound := uint32(1)
 	if err := cfg.Tenants.Into(tenants, tenantRound); err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -135,7 +139,7 @@
 	if fellows != nil {
 		defer fellows.Close()
 	}
-	counter, err := attend(cfg, post, &standing, nodes.Written, fellows)
+	counter, err := attend(cfg, post, &standing, nodes.Written, fellows, told)
 	if err != nil {
 		return err
 	}
@@ -197,6 +201,12 @@
 	if cfg.Control != "" {
 		defer attendCompany(cfg, post)()
 	}
+	if told != nil {
+		if err := told.follow(cfg); err != nil {
+			return err
+		}
+		defer told.stop()
+	}
 	ops, err := operate(cfg, state, post, now, &standing, fellows)
 	if err != nil {
 		return err
@@ -234,7 +244,7 @@
 				retuned = !reflect.DeepEqual(cfg.Settings, next.Settings)
 				divides = !samePools(cfg, next) || retuned && len(next.Service.Routes) > 0
 			}
-			if divides {
+			if divides && told == nil {
 				divided, wrong := layout(next)
 				moved.Layout, err = &divided, wrong
 			}
@@ -263,18 +273,23 @@
 			}
 			if cfg.Tenants.Differ(&next.Tenants) {
 				tenantRound++
-				if err := next.Tenants.Into(tenants, tenantRound); err != nil { // it was found sound when it was read
+				if err := told.read(&next.Tenants, tenants, tenantRound); err != nil { // it was found sound when it was read
 					log.Printf("reload: tenants: %v", err)
 				}
 				log.Printf("reload: %d tenants", tenants.Len())
 			}
 			cfg.Keep(next)
 			post(moved)
+			if told != nil && (divides || retuned) {
+				if err := told.reload(cfg); err != nil { // it was found sound when it was read
+					log.Printf("reload: %v", err)
+				}
+			}
 			if retuned {
 				log.Printf("reload: settings with %d classes and %d attempts", len(next.Brain.Classes), next.Brain.MaxAttempts)
 			}
-			if moved.Layout != nil { // from here on calls go by the new ones
-				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(moved.Layout.Pools))
+			if divides { // from here on calls go by the new ones
+				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(next.Service.PoolsInForce()))
 			}
 		case <-term:
 			log.Print("draining")
--- a/cmd/pewterrudder/sources_test.go
+++ b/cmd/pewterrudder/sources_test.go
@@ -27,6 +27,7 @@
 	asked int
 	end   func()
 	kill  func()
+	hup   func(service string) // with another settings file
 }
 
 func withSources(t *testing.T, sources string) *sourced {
@@ -34,14 +35,19 @@
 }
 
 func withSettings(t *testing.T, service string) *sourced {
+	text := fmt.Sprintf(file, "%s", "127.0.0.1:1", "x")
+	return withConfig(t, text[:strings.Index(text, `"known":`)]+text[strings.Index(text, `"settings":`):], service)
+}
+
+// withConfig runs a configuration that leaves its own address open.
+func withConfig(t *testing.T, text, service string) *sourced {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &sourced{t: t, addr: free.Addr().String()}
 	free.Close()
-	text := fmt.Sprintf(file, s.addr, "127.0.0.1:1", "x")
-	text = text[:strings.Index(text, `"known":`)] + text[strings.Index(text, `"settings":`):]
+	text = strings.Replace(text, "%s", s.addr, 1)
 	settings := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(settings, []byte(service), 0o600); err != nil {
 		t.Fatal(err)
@@ -50,6 +56,13 @@
 	cmd, log := balancer(t, text)
 	s.log = log
 	t.Cleanup(func() { cmd.Process.Kill() })
+	s.hup = func(service string) {
+		t.Helper()
+		if err := os.WriteFile(settings, []byte(service), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
 	s.kill = func() {
 		cmd.Process.Kill()
 		cmd.Wait()
@@ -65,9 +78,11 @@
 }
 
 // get asks for something; a call that nobody can serve is given up after 300 ms.
-func (s *sourced) get() string {
+func (s *sourced) get() string { return s.ask("/lookup/x") }
+
+func (s *sourced) ask(path string) string {
 	s.asked++
-	req, _ := http.NewRequest("GET", "http://"+s.addr+"/lookup/x", nil)
+	req, _ := http.NewRequest("GET", "http://"+s.addr+path, nil)
 	req.Header = http.Header{"X-Request-Id": {fmt.Sprint("s", s.asked)}, "X-Class": {"lookup"}, "X-Deadline": {"300m"}}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -80,10 +95,15 @@
 
 // until asks until the answer is of a kind.
 func (s *sourced) until(what string, good func(string) bool) {
+	s.t.Helper()
+	s.untilAt("/lookup/x", what, good)
+}
+
+func (s *sourced) untilAt(path, what string, good func(string) bool) {
 	s.t.Helper()
 	last := ""
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if last = s.get(); good(last) {
+		if last = s.ask(path); good(last) {
 			return
 		}
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,7 +56,7 @@
 type Catalog struct {
 	classes []string
 	tenants *tenants.Table
-	under   map[string]granted // by the files, to tenants of whom the store speaks
+	under   map[string]tenants.Terms // granted by the files to tenants of whom the store speaks
 
 	routes   map[string]*route
 	pools    map[string]*pool
@@ -84,7 +84,7 @@
 
 // New makes a catalog without entries, that fills a table of tenants. classes are all that calls can have.
 func New(classes []string, table *tenants.Table) *Catalog {
-	return &Catalog{classes: classes, tenants: table, under: map[string]granted{}, routes: map[string]*route{},
+	return &Catalog{classes: classes, tenants: table, under: map[string]tenants.Terms{}, routes: map[string]*route{},
 		pools: map[string]*pool{}, users: map[string]map[*route]struct{}{}, shadowed: map[string][]routes.Tie{},
 		lost: map[string]bool{}, lacking: map[*route]struct{}{}, refused: map[string]word{}, why: map[string]reason{},
 		gone: removed{at: map[string]int64{}}}
--- a/internal/catalog/model_test.go
+++ b/internal/catalog/model_test.go
@@ -172,6 +172,21 @@
 	table   *tenants.Table
 	pools   map[int]config.Pool
 	view    *View
+	round   uint32 // of reading the files' tenants
+}
+
+// read has the files' tenants in the table, as the program does.
+func (b *balancer) read(t *rapid.T, list map[string]tenants.Terms) {
+	b.round++
+	entries := []config.Tenant{}
+	for _, name := range slices.Sorted(maps.Keys(list)) {
+		entries = append(entries, config.Tenant{Name: name, Quota: list[name].Quota, Share: list[name].Share})
+	}
+	told := config.TenantsOf(entries)
+	b.catalog.Granted()
+	if err := told.IntoBeside(b.table, b.round, b.catalog.Grant); err != nil {
+		t.Fatal(err)
+	}
 }
 
 func (b *balancer) take(t *rapid.T, ch Changes) {
@@ -427,16 +442,13 @@
 				t.Fatal(err)
 			}
 			b.take(t, ch)
+			w.fileTerms = map[string]tenants.Terms{}
 			for i := 1; i <= 2; i++ {
-				name := fmt.Sprint("t", i)
-				if rapid.Bool().Draw(t, name) {
+				if name := fmt.Sprint("t", i); rapid.Bool().Draw(t, name) {
 					w.fileTerms[name] = tenants.Terms{Quota: float64(100 * rapid.IntRange(1, 5).Draw(t, "quota"))}
-					b.catalog.Grant(name, w.fileTerms[name], 7)
-				} else if _, ok := w.fileTerms[name]; ok {
-					delete(w.fileTerms, name)
-					b.catalog.Revoke(name)
 				}
 			}
+			b.read(t, w.fileTerms)
 		}
 		files()
 		s := &store{revision: 10, has: map[string]Record{}}
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -104,9 +104,17 @@
 // this one does not name, go out; those with a revision are somebody else's and stay as they are. The round has to differ
 // from list to list.
 func (t *Tenants) Into(table *tenants.Table, round uint32) error {
+	return t.IntoBeside(table, round, func(string, tenants.Terms) {})
+}
+
+// IntoBeside does as Into, and says what the list grants to those who are somebody else's.
+func (t *Tenants) IntoBeside(table *tenants.Table, round uint32, others func(name string, t tenants.Terms)) error {
 	_, err := eachTenant(t.text, func(_ int, e *entry) error {
-		if revision, _, ok := table.At(string(e.name)); !ok || revision == 0 {
-			table.Put(string(e.name), tenants.Terms{Quota: e.quota, Share: e.share}, 0, round)
+		terms := tenants.Terms{Quota: e.quota, Share: e.share}
+		if revision, _, ok := table.At(string(e.name)); ok && revision != 0 {
+			others(string(e.name), terms)
+		} else {
+			table.Put(string(e.name), terms, 0, round)
 		}
 		return nil
 	})
