--- a/cmd/pewterrudder/main.go
+++ b/cmd/pewterrudder/main.go
@@ -90,6 +90,12 @@
 	if err != nil {
 		return fmt.Errorf("settings file: %w", err)
 	}
+	events := make(chan reducer.Event, backlog)
+	post := func(ev reducer.Event) { events <- ev }
+	told, err := enter(cfg, tenants, &divided, post)
+	if err != nil {
+		return fmt.Errorf("settings file: %w", err)
+	}
 	state, err := reducer.NewLaid(cfg.Brain, cfg.Prng, delegationBudget, divided)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -98,8 +104,6 @@
 	if stall := flows.Stall(); stall > 0 {
 		state.FixStall(stall)
 	}
-	events := make(chan reducer.Event, backlog)
-	post := func(ev reducer.Event) { events <- ev }
 	var deadlines []time.Duration
 	for _, c := range cfg.Brain.Classes {
 		deadlines = append(deadlines, c.Deadline)
@@ -139,7 +143,7 @@
 	if fellows != nil {
 		defer fellows.Close()
 	}
-	counter, err := attend(cfg, post, &standing, nodes.Written, fellows)
+	counter, err := attend(cfg, post, &standing, nodes.Written, fellows, told)
 	if err != nil {
 		return err
 	}
@@ -201,6 +205,12 @@
 	if cfg.Control != "" {
 		defer attendCompany(cfg, post)()
 	}
+	if told != nil {
+		if err := told.follow(cfg); err != nil {
+			return err
+		}
+		defer told.stop()
+	}
 	ops, err := operate(cfg, state, post, now, &standing, fellows)
 	if err != nil {
 		return err
@@ -238,7 +248,7 @@
 				retuned = !reflect.DeepEqual(cfg.Settings, next.Settings)
 				divides = !samePools(cfg, next) || retuned && len(next.Service.Routes) > 0
 			}
-			if divides {
+			if divides && told == nil {
 				divided, wrong := layout(next)
 				moved.Layout, err = &divided, wrong
 			}
@@ -267,7 +277,7 @@
 			}
 			if cfg.Tenants.Differ(&next.Tenants) {
 				tenantRound++
-				next.Tenants.Into(tenants, tenantRound)
+				told.read(&next.Tenants, tenants, tenantRound)
 				log.Printf("reload: %d tenants", tenants.Len())
 			}
 			cfg.Keep(next)
@@ -275,11 +285,16 @@
 			if cfg.Tenants.Len() > 0 {
 				debug.FreeOSMemory() // what reading took: with many tenants as much as the table
 			}
+			if told != nil && (divides || retuned) {
+				if err := told.reload(cfg); err != nil { // it was found sound when it was read
+					log.Printf("reload: %v", err)
+				}
+			}
 			if retuned {
 				log.Printf("reload: settings with %d classes and %d attempts", len(next.Brain.Classes), next.Brain.MaxAttempts)
 			}
-			if moved.Layout != nil { // from here on calls go by the new ones
-				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(moved.Layout.Pools))
+			if divides { // from here on calls go by the new ones
+				log.Printf("reload: %d routes over %d pools", len(next.Service.Routes), len(next.Service.PoolsInForce()))
 			}
 		case <-term:
 			log.Print("draining")
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -164,6 +164,11 @@
 // this one does not name, go out; those with a revision are somebody else's and stay as they are. The round has to differ
 // from list to list.
 func (t *Tenants) Into(table *tenants.Table, round uint32) {
+	t.IntoBeside(table, round, func(string, tenants.Terms) {})
+}
+
+// IntoBeside does as Into, and says what the list grants to those who are somebody else's.
+func (t *Tenants) IntoBeside(table *tenants.Table, round uint32, others func(name string, t tenants.Terms)) {
 	before, looked := table.Len(), 0
 	turn := func() {
 		if looked++; looked%between == 0 {
@@ -173,8 +178,11 @@
 	for i := range t.entries {
 		block := t.entries[i : i+1]
 		for r := range block.all() {
-			if revision, _, ok := table.At(string(r.name)); !ok || revision == 0 {
-				table.Put(string(r.name), tenants.Terms{Quota: r.quota, Share: r.share}, 0, round)
+			terms := tenants.Terms{Quota: r.quota, Share: r.share}
+			if revision, _, ok := table.At(string(r.name)); ok && revision != 0 {
+				others(string(r.name), terms)
+			} else {
+				table.Put(string(r.name), terms, 0, round)
 			}
 			turn()
 		}
