--- a/internal/lab/hollow/virtual.go
+++ b/internal/lab/hollow/virtual.go
@@ -486,9 +486,9 @@
 		return cpu[name] - time.Duration(float64(cpu[steadily])*float64(last)/float64(idle))
 	}
 	scene("first start of all", 0, all, life(0), cpu["first start of all"], 0, 30*time.Second)
-	scene(steadily, 0, all, when{func(*member) (time.Duration, bool) { return 0, true }}, cpu[steadily], 30*time.Second, 30*time.Second+idle)
-	s := &r.Scenes[len(r.Scenes)-1]
-	s.Steady, s.CoreShare = true, s.CPUMsEach/ms(idle)
+	each := ms(cpu[steadily]) / float64(len(members))
+	r.add(Scene{Name: steadily, Steady: true, Seconds: idle.Seconds(), CPUMsEach: each, CoreShare: each / ms(idle),
+		Source: load(30*time.Second, 30*time.Second+idle), PeakResidentMB: kvrig.Resident("VmHWM")})
 	var marks when
 	for k := range changesMade {
 		marks = append(marks, mark(changeName(k), firstChange+time.Duration(k)*changeEvery))
