Tell hundreds of pools of settings in slices

Seen: new settings with 550 pools over 26,000 app nodes held the reducer for 13.0 to 41.5 ms in one event (a trial, five times in a test written for it), and so does each other balancer that comes or goes where they are heard. Cause: every pool's module is told at once, and each goes through its servers.

Change: 20 pools an event, and the shells behind the last: a call with a new class finds every pool ready for it. Settings that come meanwhile begin anew. With up to 20 pools all is told in one event, as before.

TestManyPoolsAreRetunedInSlices was seen failing with the slices taken out.

--- a/internal/reducer/adjust_test.go
+++ b/internal/reducer/adjust_test.go
@@ -181,7 +181,7 @@
 				}
 				w.staysInPool(id)
 			},
-			"end": func(*rapid.T) { w.serveAll() },
+			"end":   func(*rapid.T) { w.serveAll() },
 			"slice": func(t *rapid.T) { w.slice() },
 			"settle": func(t *rapid.T) {
 				for w.slice() {
--- a/internal/reducer/pools_test.go
+++ b/internal/reducer/pools_test.go
@@ -161,7 +161,7 @@
 				id := w.call(0, 600*ms)
 				w.staysInPool(id)
 			},
-			"end": func(*rapid.T) { w.serveAll() },
+			"end":    func(*rapid.T) { w.serveAll() },
 			"settle": func(t *rapid.T) { w.settle() },
 			"time":   func(t *rapid.T) { w.pass(time.Second) },
 		})
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -406,6 +406,10 @@
 	places  []place // of classes
 	retuned bool    // the settings are no more those of the start
 
+	retuning   bool   // pools are being told of settings
+	retuneAt   int    // the place of the next
+	retuneThen Effect // what follows
+
 	away     bool // clients are sent away
 	awayFrom time.Duration
 	turn     uint64          // how often that has changed
@@ -603,6 +607,8 @@
 		if len(r.feeds) > 0 {
 			r.feedOn()
 		}
+	case retuneRest:
+		r.onRetuneRest()
 	case zoneClock:
 		r.onZoneTick()
 	case Operator:
--- a/internal/reducer/retune.go
+++ b/internal/reducer/retune.go
@@ -64,12 +64,41 @@
 		next.Nodes = r.view.Crowd()
 	}
 	r.cfg, r.retuned = next, true
-	for _, p := range r.pools {
-		if p != nil {
+	r.retuneAll(Retuned{places, classes, next.Tenants, tag})
+}
+
+// retuneMost bounds the pools that one event tells of settings: some 25 us each, so that an event stays under a millisecond.
+const retuneMost = 20
+
+// retuneRest is the next slice of the pools.
+type retuneRest struct{}
+
+func (retuneRest) event() {}
+
+// retuneAll tells every pool of the settings in force, and then the shells: a call with a class that is new must not come to a
+// pool that has not heard of it. Settings that come meanwhile begin anew; their word to the shells takes the place of the earlier.
+func (r *Reducer) retuneAll(then Effect) {
+	if r.retuneAt = 0; then != nil {
+		r.retuneThen = then
+	}
+	if !r.retuning { // else the next slice is on its way
+		r.onRetuneRest()
+	}
+}
+
+func (r *Reducer) onRetuneRest() {
+	for n := retuneMost; n > 0 && r.retuneAt < len(r.pools); r.retuneAt++ {
+		if p := r.pools[r.retuneAt]; p != nil {
 			r.retunePool(p)
+			n--
 		}
 	}
-	r.emit(Retuned{places, classes, next.Tenants, tag})
+	if r.retuning = r.retuneAt < len(r.pools); r.retuning {
+		r.emit(Arm{0, retuneRest{}})
+	} else if r.retuneThen != nil {
+		r.emit(r.retuneThen)
+		r.retuneThen = nil
+	}
 }
 
 // emptyPlace finds one that can be given away; -1: none.
--- a/internal/reducer/retune_test.go
+++ b/internal/reducer/retune_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -145,3 +146,63 @@
 		t.Errorf("%d taken, %d turned down", w.r.applied, w.r.rejected)
 	}
 }
+
+// Hundreds of pools hear of settings in slices, and the shells behind the last of them: a call with a new class must find every
+// pool ready for it. What comes meanwhile begins anew, and ends once.
+func TestManyPoolsAreRetunedInSlices(t *testing.T) {
+	var l Layout
+	for i := range 10 * retuneMost {
+		l.Pools = append(l.Pools, PoolSpec{Name: fmt.Sprint("p", i)})
+	}
+	told := map[string]int{} // attempts that a pool's node was last told of
+	event := 0
+	r, err := NewPools(settings(), 100, l, func(name string) brain.Decider {
+		return ear{func(ev brain.Event) {
+			if e, ok := ev.(*brain.Retuned); ok {
+				told[name] = e.Settings.MaxAttempts
+				event++
+			}
+		}}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var slice []Event
+	var tags []any
+	do := func(ev Event) {
+		event = 0
+		for _, e := range r.Handle(time.Hour, ev, nil) {
+			switch e := e.(type) {
+			case Arm:
+				slice = append(slice, e.Event)
+			case Retuned:
+				tags = append(tags, e.Tag)
+				for i := range l.Pools {
+					if n := told[l.Pools[i].Name]; n != e.Tag {
+						t.Errorf("the shells hear of %v, and pool %d has heard of %d", e.Tag, i, n)
+					}
+				}
+			}
+		}
+		if event > retuneMost {
+			t.Fatalf("%d pools were told in one event", event)
+		}
+	}
+	next := settings()
+	for _, attempts := range []int{7, 8, 9} {
+		next.MaxAttempts = attempts
+		do(Reloaded{Settings: &next, Tag: attempts})
+		if attempts == 8 { // some of the second has been told
+			do(slice[0])
+			slice = slice[1:]
+		}
+	}
+	for len(slice) > 0 {
+		e := slice[0]
+		slice = slice[1:]
+		do(e)
+	}
+	if len(tags) != 1 || tags[0] != 9 || r.retuning {
+		t.Errorf("the shells heard of %v", tags)
+	}
+}
--- a/internal/reducer/words.go
+++ b/internal/reducer/words.go
@@ -91,10 +91,6 @@
 	}
 	if out.Crowd > 0 && out.Crowd != r.cfg.Nodes {
 		r.cfg.Nodes = out.Crowd
-		for _, p := range r.pools {
-			if p != nil {
-				r.retunePool(p)
-			}
-		}
+		r.retuneAll(nil)
 	}
 }
