Lay nothing to a reload of a process that never rests

The first table has together.reload_cpu 0 ms: the process takes 0.9 of a core before the reload as after it, and the subtraction hides the reload.

--- a/internal/lab/capacity/balancers.go
+++ b/internal/lab/capacity/balancers.go
@@ -21,6 +21,9 @@
 	fewPools = 60
 )
 
+// restless is the share of a core at rest from which a reload's time is not told apart from the rest's.
+const restless = 0.3
+
 func (o *Options) balancer(nodes int, n installation) (b *balancer, d *listing, end func(), err error) {
 	if d, err = newListing(nodes, n.pools); err != nil {
 		return nil, nil, nil, err
@@ -180,7 +183,11 @@
 	if err != nil {
 		return err
 	}
-	f.reload.add(x, ms(took))
+	if b.rest < restless {
+		f.reload.add(x, ms(took))
+	} else {
+		f.reload.Refused = "it never rests, and the reload is not told apart from that"
+	}
 	f.peak.add(x, most)
 	f.after.add(x, msPerSecond(rest))
 	return nil
