Give a slow store time: a long list's follower holds two connections at the most

Cause: `ask` begins another attempt beside one that has had no answer for 0.6 to 1.2 s, for a minute at the same pace, with up to three beside the oldest, and begins at that pace anew with each page. A store that is slow because many read it is given more to do. Besides, a page whose bytes were coming had attempts begun beside it, and a watch's line that took over 2 s on the way was called silence: it was asked for anew, begun anew, and never held.

Ruled out: dials that fail (the kernel accepts), idle connections (a page goes on over the one before), cuts of readings.

Where a long list is followed (Follow), one attempt at a time stands beside the oldest, the pace doubles with each, up to 20 s, and starts from four times what the last answer took; a range whose bytes come is waited for, for a minute; each piece of a watch's body puts the end by silence off. The roster's client (New) goes on as before.

TestManyComeBackSpread starts its store and its followers by the functions that the new tests use (filled, many); what it checks is the same.

--- a/internal/registry/kv/attempts.go
+++ b/internal/registry/kv/attempts.go
@@ -20,6 +20,9 @@
 	// store that has not answered for so long is drowning in questions, or its recovery can wait.
 	eagerFor = time.Minute
 	slowest  = 20 * time.Second
+	// patienceEach is how many times as long as the last answer took the next one may take, where a long list is followed,
+	// before another attempt stands beside it: with jitter from twice on.
+	patienceEach = 4
 	// lifeTime is how long the other side's kernel may be silent. Where the machine is gone, the system ends the
 	// connection, and with it the patient attempt.
 	lifeTime = 4 * time.Second
@@ -115,6 +118,10 @@
 // the one that hangs. And a store that answers late, or works through calls in turn, must not find that its callers
 // have left; so the oldest attempt stays, for patientWait. What the others have asked is called off.
 //
+// Where a long list is followed, by thousands whose pages make a store slow, one attempt at a time stands beside the
+// oldest, the pace doubles with each, and begins from what the last answer took (see patience); an answer whose bytes
+// come is waited for.
+//
 // Two errors end it: a verdict, and that of our own end.
 func ask[T any](c *Client, do func(context.Context, *endpoint) (T, error)) (T, *attempt, error) {
 	var none T
@@ -128,7 +135,7 @@
 			a.cancel()
 		}
 	}()
-	next, first, wait := time.NewTimer(max(0, time.Until(c.due))), time.Now(), eagerWait
+	next, first, wait := time.NewTimer(max(0, time.Until(c.due))), time.Now(), c.patience()
 	defer next.Stop()
 	begin := func() {
 		ctx, cancel := context.WithCancel(c.ctx)
@@ -152,8 +159,12 @@
 			return none, nil, c.ctx.Err()
 		case <-next.C:
 			now := time.Now()
+			if len(out) > 0 && c.coming(now, first) {
+				next.Reset(c.jitter(wait))
+				continue
+			}
 			for i, a := range out {
-				if age := now.Sub(a.began); age > patientWait || i > 0 && age > wait {
+				if age := now.Sub(a.began); age > patientWait || i > 0 && (age > wait || c.sparse != nil) {
 					a.late = true
 					a.cancel()
 				}
@@ -163,6 +174,9 @@
 				wait = min(2*wait, slowest)
 			}
 			next.Reset(c.jitter(wait) / time.Duration(len(c.endpoints)))
+			if c.sparse != nil {
+				wait = min(2*wait, slowest)
+			}
 		case r := <-results:
 			for i, a := range out {
 				if a == r.of {
@@ -175,6 +189,9 @@
 			switch {
 			case r.err == nil:
 				r.of.at.until, c.due = time.Time{}, time.Time{}
+				if c.sparse != nil {
+					c.sparse.took = time.Since(r.of.began)
+				}
 				for i, e := range c.endpoints {
 					if e == r.of.at {
 						c.serving = i
--- a/internal/registry/kv/follow.go
+++ b/internal/registry/kv/follow.go
@@ -30,6 +30,10 @@
 	// sound is how long a watch must have been open to count as working.
 	sound = 2 * time.Second
 
+	// piece is the most that is read of a body at once where its pace is watched: net/http fills what it is given from a chunk, however long
+	// that takes. One in silence is 2 KB a second, and a slower line is none.
+	piece = 4 << 10
+
 	maxBody = 64 << 20 // bytes of a page: 10,000 keys of the largest that we read make less
 	maxLine = 16 << 20 // bytes of a watch's line: etcd splits what is over 1.5 MB, which base64 makes 2
 )
@@ -128,11 +132,15 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	body := resp.Body
+	if s := c.sparse; s != nil {
+		body = speaking{body, func() { s.heard.Store(time.Now().UnixNano()) }}
+	}
 	var raw bytes.Buffer
 	if n := resp.ContentLength; n > 0 && n < maxBody {
 		raw.Grow(int(n) + bytes.MinRead)
 	}
-	if n, err := raw.ReadFrom(io.LimitReader(resp.Body, maxBody)); err != nil {
+	if n, err := raw.ReadFrom(io.LimitReader(body, maxBody)); err != nil {
 		return nil, cut{fmt.Errorf("range: %w after %d bytes", err, n)}
 	} else if n == maxBody {
 		return nil, fmt.Errorf("range: more than %d bytes", n)
@@ -267,6 +275,20 @@
 	term   uint64 // that the answer named
 }
 
+// speaking is a body of a long list's store: what is on its way is no silence.
+type speaking struct {
+	io.ReadCloser
+	said func()
+}
+
+func (b speaking) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p[:min(len(p), piece)])
+	if n > 0 {
+		b.said()
+	}
+	return n, err
+}
+
 func (s *stream) close() {
 	s.quiet.Stop()
 	s.cancel(nil)
@@ -305,7 +327,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stream{at: at, body: resp.Body, lines: bufio.NewScanner(resp.Body), opened: time.Now()}
+	s := &stream{at: at, body: resp.Body, opened: time.Now()}
+	if c.sparse != nil {
+		s.body = speaking{resp.Body, func() {
+			if s.quiet != nil { // else it is not open yet
+				s.quiet.Reset(silence)
+			}
+		}}
+	}
+	s.lines = bufio.NewScanner(s.body)
 	s.lines.Buffer(nil, maxLine)
 	m, err := c.next(s)
 	s.term = m.origin.term
--- a/internal/registry/kv/sparse.go
+++ b/internal/registry/kv/sparse.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,11 +37,13 @@
 // slices. Only another history is read whole.
 type sparse struct {
 	marks    marks
-	reviewed int64     // all written up to this revision was compared
-	review   time.Time // of the next
-	bounds   []string  // of the slices of the look under way, from the next on; none: a new one begins
-	slice    time.Time // of the next
-	slices   int       // of the look under way
+	reviewed int64         // all written up to this revision was compared
+	review   time.Time     // of the next
+	bounds   []string      // of the slices of the look under way, from the next on; none: a new one begins
+	slice    time.Time     // of the next
+	slices   int           // of the look under way
+	took     time.Duration // the last answer
+	heard    atomic.Int64  // when bytes of a range came last, in ns
 	lookRate int
 	readRate int
 }
@@ -98,3 +101,17 @@
 }
 
 func (c *Client) pacer() *pacer { return &pacer{began: time.Now(), rate: c.sparse.readRate} }
+
+// patience is how long an answer may take before another attempt stands beside it: where a long list is followed, longer
+// behind an answer that took long.
+func (c *Client) patience() time.Duration {
+	if c.sparse == nil {
+		return eagerWait
+	}
+	return max(eagerWait, min(patienceEach*c.sparse.took, slowest))
+}
+
+// coming says that an answer of a long list is on its way: bytes came of late. A store that drips for ever has eagerFor.
+func (c *Client) coming(now, first time.Time) bool {
+	return c.sparse != nil && now.Sub(first) < eagerFor && now.UnixNano()-c.sparse.heard.Load() < int64(eagerWait/2)
+}
--- a/internal/registry/kv/sparse_test.go
+++ b/internal/registry/kv/sparse_test.go
@@ -1,7 +1,9 @@
 package kv
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -317,28 +319,47 @@
 	})
 }
 
+// filled is a store of so many keys that serves on a wire.
+func filled(t *testing.T, keys int) (s *kvd.Server, w *wire, over func()) {
+	s, w = kvd.New(kvd.Options{}), newWire()
+	go s.Serve(w)
+	for i := range keys {
+		put(t, s, tenant(i), terms(i), 0)
+	}
+	return s, w, func() { w.Close(); s.Close() }
+}
+
+// many starts followers, each with its own seed. The end closes them all.
+func many(t *testing.T, n int, set Settings) (held []*records, end func()) {
+	var all []*Client
+	end = func() {
+		for _, c := range all {
+			c.Close()
+		}
+	}
+	for i := range n {
+		set.Endpoints, set.Prefix, set.Seed = []string{"a:1"}, prefix, uint64(i)
+		held = append(held, newRecords())
+		c, err := Follow(set, held[i], newTold())
+		if err != nil {
+			end()
+			t.Fatal(err)
+		}
+		all = append(all, c)
+	}
+	return held, end
+}
+
 // Many followers of a store that comes back call it over more than a second, none reads its list, and what is written at
 // once is held by all within 4 s.
 func TestManyComeBackSpread(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const followers, keys = 300, 50
-		s, w := kvd.New(kvd.Options{}), newWire()
-		defer s.Close()
-		defer w.Close()
-		go s.Serve(w)
-		for i := range keys {
-			put(t, s, tenant(i), terms(i), 0)
-		}
-		held := make([]*records, followers)
-		for i := range held {
-			held[i] = newRecords()
-			c, err := Follow(Settings{Endpoints: []string{"a:1"}, Prefix: prefix, Seed: uint64(i), Dial: w.dial}, held[i], newTold())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-		}
+		s, w, over := filled(t, keys)
+		defer over()
+		held, end := many(t, followers, Settings{Dial: w.dial})
+		defer end()
 		calls := func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.dials["a:1"] }
 		for _, down := range []time.Duration{0, 30 * time.Second} {
 			time.Sleep(5 * time.Second)
@@ -411,3 +432,79 @@
 		b.Fatal(h.Len())
 	}
 }
+
+// A store that takes 5 s for each page is given that time: followers at their first reading hold two connections each at
+// the most, and make a handful in all.
+func TestASlowStoreIsGivenTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const followers, keys = 300, 1000
+		s, w, over := filled(t, keys)
+		defer over()
+		s.SetSlow(5 * time.Second)
+		held, end := many(t, followers, Settings{Page: 100, Dial: w.dial})
+		defer end()
+		most := 0
+		for range 90 {
+			time.Sleep(time.Second)
+			synctest.Wait()
+			most = max(most, w.left())
+		}
+		w.mu.Lock()
+		dials := w.dials["a:1"]
+		w.mu.Unlock()
+		t.Logf("%d followers: %d connections made, at most %d at a time", followers, dials, most)
+		if dials > 6*followers || most > 2*followers {
+			t.Errorf("%d connections made, %d at a time", dials, most)
+		}
+		s.Heal()
+		put(t, s, tenant(3), terms(9999), 0)
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		for i, h := range held {
+			if err := h.differ(s.Store); err != nil || h.whole != 1 {
+				t.Fatalf("%d: %v, %d whole", i, err, h.whole)
+			}
+		}
+	})
+}
+
+// thin is a connection that brings some 64 KB a second.
+type thin struct{ net.Conn }
+
+func (c thin) Read(p []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return c.Conn.Read(p[:min(len(p), 3200)])
+}
+
+// A page, and a line of a watch, that take seconds on the way are waited for on the connection that brings them.
+func TestWhatIsOnItsWayIsNoSilence(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, w, over := filled(t, 2000)
+		defer over()
+		held, sink := newRecords(), newTold()
+		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+			nc, err := w.dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return thin{nc}, nil
+		}
+		c, err := Follow(Settings{Endpoints: []string{"a:1"}, Prefix: prefix, LookRate: 1, Dial: dial}, held, sink)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		time.Sleep(20 * time.Second)
+		put(t, s, tenant(0), strings.Repeat("x", 300<<10), 0)
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		if err := held.differ(s.Store); err != nil || held.whole != 1 {
+			t.Errorf("%v, %d whole", err, held.whole)
+		}
+		if n := w.dials["a:1"]; n > 2 || len(sink.broke) > 0 {
+			t.Errorf("%d connections made; %v", n, sink.broke)
+		}
+	})
+}
