Measure peers with up to 60 others in the capacity table, whole views among what they send

Cause: whole views are exchanged the less often the more members there are, and two pauses are measured, which 45 s did not hold. The points are 0, 10, 30 and 60 now, within 110 s, and what is sent counts the streams that whole views go in.

--- a/internal/lab/capacity/crowd.go
+++ b/internal/lab/capacity/crowd.go
@@ -22,15 +22,15 @@
 	// peersFor is how long a process among others is measured.
 	peersFor = 3 * time.Second
 	// peersMost bounds all of them, with the build of the program; peersGrace is for the command to end by itself.
-	peersMost  = 45 * time.Second
+	peersMost  = 110 * time.Second
 	peersGrace = 3 * time.Second
 )
 
 var (
 	crowdSizes = []int{300, 1000, 3000}
 	dealtSizes = []int{2000, 8000, 26_000}
-	// peerSizes end at what the members' own knowledge takes today.
-	peerSizes = []int{0, 20, 50, 100}
+	// peerSizes end where two pauses between whole views, which grow with the members, take half a minute.
+	peerSizes = []int{0, 10, 30, 60}
 )
 
 func fellow(i int) string { return fmt.Sprintf("10.9.%d.%d:7946", i>>8, i&255) }
@@ -124,7 +124,7 @@
 		last = m.Peers
 		cpu.add(x, m.CPU)
 		memory.add(x, float64(m.Own)/1024)
-		sent.add(x, m.Bytes)
+		sent.add(x, m.Bytes+m.Views)
 		packets.add(x, m.Packets)
 	}
 	if ended != nil {
