--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,8 +12,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
+	"unique"
 
+	"pewterrudder/brain"
 	"pewterrudder/internal/config"
 	"pewterrudder/internal/reducer"
 )
@@ -29,6 +32,8 @@
 	besideAfter = 2500 * time.Millisecond
 	besideEvery = time.Second
 	besideHead  = patience - 100*time.Millisecond
+	// progress is what has to come of a list between two looks for it to be on its way: one that trickles never ends.
+	progress = 4 << 10
 )
 
 // entry is a config.Entry under discovery's names.
@@ -54,7 +59,8 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return reducer.List{}, fmt.Errorf("registry: %w", err)
 	}
-	list := reducer.List{Revision: in.Revision, Complete: in.Complete}
+	list := reducer.List{Revision: in.Revision, Complete: in.Complete, Members: make([]brain.Member, 0, len(in.Members)),
+		Addresses: make([]string, 0, len(in.Members))}
 	var bad error
 	for i := range in.Members {
 		m, err := config.Entry(in.Members[i]).Member(started)
@@ -62,12 +68,16 @@
 			bad = fmt.Errorf("registry: members[%d]: %w", i, err)
 			continue
 		}
+		m.Zone, m.Kind = once(m.Zone), once(m.Kind)
 		list.Members = append(list.Members, m)
 		list.Addresses = append(list.Addresses, in.Members[i].Address)
 	}
 	return list, bad
 }
 
+// once holds a zone or a kind once, however many entries name it; one that nobody holds any more is forgotten.
+func once(s string) string { return unique.Make(s).Value() }
+
 // Registry opens watches. Watch is called by the goroutine that drives the reducer alone.
 type Registry struct {
 	post    func(reducer.Event)
@@ -104,6 +114,13 @@
 	}()
 }
 
+// Close ends the watch without a word.
+func (g *Registry) Close() {
+	if g.cancel != nil {
+		g.cancel()
+	}
+}
+
 var errSilent = errors.New("no line for too long")
 
 // word is what one call has heard.
@@ -116,17 +133,24 @@
 // watch follows one watch. A discovery that takes a call and says nothing may be well again while its answer to that call
 // is still lost; giving the call up sooner would have a discovery that works through calls in turn serve those that
 // nobody waits for any more. So where it has been silent for longer than it should be, further calls go out beside the
-// first, one a second: the first line decides which of them is the watch, and the others close.
+// first, one a second: the first line decides which of them is the watch, and the others close. A list that is on its way
+// is no silence, however long it takes: each call beside it would have all of it sent once more, by the same line.
 func (g *Registry) watch(ctx context.Context, e reducer.Watch) error {
 	words := make(chan word)
-	calls, last := map[int]context.CancelFunc{}, -1
+	var came atomic.Int64 // bytes of lists
+	seen := int64(0)      // of these, at the last look
+	type asked struct {
+		cancel context.CancelFunc
+		at     time.Time
+	}
+	calls, last := map[int]asked{}, -1
 	begin := func() {
 		last++
 		call, cctx, since := last, ctx, e.Since
 		own, cancel := context.WithCancel(cctx)
-		calls[call] = cancel
+		calls[call] = asked{cancel, time.Now()}
 		go func() {
-			err := g.follow(own, e.Discovery, since, func(l *reducer.List) {
+			err := g.follow(own, e.Discovery, since, func(n int) { came.Add(int64(n)) }, func(l *reducer.List) {
 				select {
 				case words <- word{call: call, list: l}:
 				case <-own.Done():
@@ -139,8 +163,8 @@
 		}()
 	}
 	defer func() {
-		for _, cancel := range calls {
-			cancel()
+		for _, c := range calls {
+			c.cancel()
 		}
 	}()
 	begin()
@@ -152,31 +176,44 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-beside.C:
+			if now := came.Load(); now-seen >= progress {
+				seen = now
+				beside.Reset(besideEvery)
+				continue
+			}
 			if len(calls) == 1 {
 				g.log("registry: no word for too long; asking again beside it")
 			}
 			begin()
 			beside.Reset(besideEvery)
 		case w := <-words:
-			if calls[w.call] == nil {
+			if _, out := calls[w.call]; !out {
 				continue // it was closed
 			}
 			if w.err != nil {
-				calls[w.call]()
+				calls[w.call].cancel()
 				delete(calls, w.call)
 				if len(calls) == 0 {
 					return w.err
 				}
 				if late := net.Error(nil); w.err != errSilent && !(errors.As(w.err, &late) && late.Timeout()) {
-					beside.Reset(besideHead) // it speaks: the calls that are out have their turn coming
+					// It speaks: the calls that are out have their turn coming, each until its patience ends. A watch that has
+					// fallen silent has none, and its end would be followed by a pause.
+					wait := besideEvery
+					for call, c := range calls {
+						if call != leads {
+							wait = max(wait, besideHead-time.Since(c.at))
+						}
+					}
+					beside.Reset(wait)
 				}
 				continue
 			}
 			if w.call != leads {
 				leads = w.call
-				for call, cancel := range calls {
+				for call, c := range calls {
 					if call != leads {
-						cancel()
+						c.cancel()
 						delete(calls, call)
 					}
 				}
@@ -193,8 +230,20 @@
 	}
 }
 
-// follow makes one call and hands on its lists, nil for a blank line, until it ends.
-func (g *Registry) follow(outer context.Context, discovery string, since int64, line func(*reducer.List)) error {
+// counted says how much has come.
+type counted struct {
+	io.Reader
+	came func(int)
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.came(n)
+	return n, err
+}
+
+// follow makes one call and hands on its lists, nil for a blank line, until it ends. It says when bytes come that count.
+func (g *Registry) follow(outer context.Context, discovery string, since int64, came func(int), line func(*reducer.List)) error {
 	ctx, stop := context.WithCancelCause(outer)
 	defer stop(nil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
@@ -212,7 +261,7 @@
 	}
 	quiet := time.AfterFunc(silence, func() { stop(errSilent) })
 	defer quiet.Stop()
-	lists := newValues(resp.Body, func() { quiet.Reset(silence) }, func() { line(nil) })
+	lists := newValues(counted{resp.Body, came}, func() { quiet.Reset(silence) }, func() { line(nil) })
 	for {
 		raw, err := lists.next()
 		switch cause := context.Cause(ctx); {
@@ -226,7 +275,7 @@
 		list, err := Decode(raw, g.started)
 		if err != nil {
 			g.log(err.Error())
-			if list.Members == nil && list.Revision == 0 {
+			if len(list.Members) == 0 && list.Revision == 0 {
 				return err // not a list at all: after a gap only a new watch gives the whole
 			}
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -207,8 +207,9 @@
 		return nil, fmt.Errorf("conf: %w", err)
 	}
 	inst := &instance{node: node}
-	inst.classes = c.Names()
-	return inst, c.Tenants.Into(&inst.tenants, 1)
+	inst.classes = c.Places()
+	c.Tenants.Into(&inst.tenants, 1)
+	return inst, nil
 }
 
 // event translates one item; nil for an event that says nothing to a node.
