Keep long streams and prompts apart by degree; give popular prefixes more homes

Cause: of 828 streams 215 were late by pauses, since the engine reads prompts between their tokens; a hot prefix drowned its home; in bursts half of the picks went to an instance that had to read the prefix again. Change: streams prefer the first instances in a rank that all routers share, as many as the streams that run need by the loads that all hear; these have a quarter of the homes of others. A prefix has as many homes as its share of the requests is of the instances. Homes are ranked by weighted rendezvous hashing.

--- a/internal/router/balance/figure.go
+++ b/internal/router/balance/figure.go
@@ -13,12 +13,16 @@
 	// ZoneHopMs is what an attempt in another zone costs, in ms, and ZoneMsPerKB what each 1,000 bytes of its request cost beside.
 	ZoneHopMs   float64
 	ZoneMsPerKB float64
+	// Delayed is the price of the time for which prompts that are read at an instance are expected to hold the answer up.
+	Delayed float64
 	// IgnorePrompt leaves prompts out of the figure.
 	IgnorePrompt bool
 }
 
 // DefaultWeights are the ones in service.
-var DefaultWeights = Weights{Occupancy: 1, EngineOccupancy: 0.5, ReadAgain: 10, ZoneHopMs: 1.5, ZoneMsPerKB: 1}
+var DefaultWeights = Weights{
+	Occupancy: 1, EngineOccupancy: 0.5, ReadAgain: 10, ZoneHopMs: 1.5, ZoneMsPerKB: 1, Delayed: 0.1,
+}
 
 // Candidate is what is known of one instance when a request is to be sent.
 type Candidate struct {
@@ -31,6 +35,9 @@
 	Slowness      float64 // its time for a request against the mean of the others; 0 counts as 1
 	OtherZone     bool
 	RequestKB     float64 // size of the request, in 1,000 bytes
+	ReadingShare  float64 // of the time, for which prompts are expected to be read there
+	HoldMs        float64 // time for which the requests there hold their slots; 0: the backend's mean
+	OutputMs      float64 // time that the answer is expected to take from its first token on
 }
 
 // Pace is what has been learned of a backend.
@@ -41,15 +48,10 @@
 }
 
 // Figure is the wait that a request is expected to meet at a candidate, in ms, and the price of what it would read
-// again, as ms.
+// again and of what it would delay, as ms.
 func (w *Weights) Figure(candidate *Candidate, pace Pace) float64 {
-	slots := max(1, candidate.Slots)
-	held := candidate.Queued + candidate.Running
-	figure := w.occupancyMs(pace) * held / slots
-	if over := held + 1 - slots; over > 0 {
-		figure += pace.ServiceMs * over / slots
-	}
 	readsPrompts := pace.TokensPerMs > 0 && !w.IgnorePrompt
+	figure := w.occupancy(candidate, pace) + slotWait(candidate, pace)
 	if readsPrompts {
 		figure += (candidate.PendingTokens + candidate.MissingTokens) / pace.TokensPerMs
 	}
@@ -58,11 +60,30 @@
 	}
 	if readsPrompts {
 		figure += w.ReadAgain * candidate.MissingShared / pace.TokensPerMs
+		figure += w.Delayed * candidate.ReadingShare * candidate.OutputMs
 	}
-	if candidate.OtherZone {
-		figure += w.ZoneHopMs + w.ZoneMsPerKB*candidate.RequestKB
+	return figure + w.otherZone(candidate)
+}
+
+// occupancy is the price of the slots that are taken, in ms.
+func (w *Weights) occupancy(candidate *Candidate, pace Pace) float64 {
+	held := candidate.Queued + candidate.Running
+	return w.occupancyMs(pace) * held / max(1, candidate.Slots)
+}
+
+// slotWait is the time for which the request is expected to wait for a slot, in ms.
+func slotWait(candidate *Candidate, pace Pace) float64 {
+	slots := max(1, candidate.Slots)
+	over := candidate.Queued + candidate.Running + 1 - slots
+	return max(pace.ServiceMs, candidate.HoldMs) * max(0, over) / slots
+}
+
+// otherZone is the price of an attempt in another zone, in ms.
+func (w *Weights) otherZone(candidate *Candidate) float64 {
+	if !candidate.OtherZone {
+		return 0
 	}
-	return figure
+	return w.ZoneHopMs + w.ZoneMsPerKB*candidate.RequestKB
 }
 
 // occupancyMs is the figure of an instance whose slots are all taken while nobody waits.
--- a/internal/router/selection/backend.go
+++ b/internal/router/selection/backend.go
@@ -16,6 +16,11 @@
 	pace        balance.PaceLearner
 	firstByteMs average // time to the first byte
 	missing     average // prompt tokens to read per request
+	promptMs    average // time for which an instance holds a request that is no stream
+	tokenMs     average // time for a token of an answer, of those that the request allows
+	isMixed     bool    // it has no stream set
+	streams     streamSet
+	popular     popularity
 	requestedAt time.Time
 	replicas    map[commonprefix.Key]int // instances that shall keep each common prefix
 	places      []commonprefix.Place     // as agreed, with the instances that hold them now
@@ -61,7 +66,7 @@
 	for name, config := range s.configs {
 		known := previous[name]
 		if known == nil {
-			known = &backend{}
+			known = &backend{popular: newPopularity(), isMixed: s.options.Mixed}
 		}
 		known.config = config
 		known.targets = nil
@@ -69,6 +74,7 @@
 		for _, instance := range s.snapshot.Backend(name) {
 			s.place(known, instance, previousTargets[instance.ID])
 		}
+		known.rankForStreams()
 	}
 	s.sizeCaches()
 	s.placeCommon()
--- a/internal/router/selection/commonuse.go
+++ b/internal/router/selection/commonuse.go
@@ -75,7 +75,7 @@
 	var ranked []home
 	for _, known := range from.targets {
 		if known.instance.Ready() && known.isHome {
-			weight := prefixcache.HomeWeight(known.homeHash, common.Home)
+			weight := known.homeWeight(common.Home)
 			ranked = insertHome(ranked, max(1, from.replicas[common.Key]), home{target: known, weight: weight})
 		}
 	}
--- a/internal/router/selection/home.go
+++ b/internal/router/selection/home.go
@@ -1,6 +1,10 @@
 package selection
 
-import "pewterrudder/internal/router/prefixcache"
+import (
+	"math"
+
+	"pewterrudder/internal/router/prefixcache"
+)
 
 // HomeShares are the shares of a prompt's shared blocks that an instance is presumed to keep, without any request from
 // here, because all routers send such prompts to it: a home at rest, and the one after the homes when they are loaded.
@@ -15,7 +19,7 @@
 // home is an instance that all routers presume to keep a prompt's shared blocks.
 type home struct {
 	target *target
-	weight uint64
+	weight float64
 }
 
 // homes are the instances that all routers presume to keep a prompt's shared blocks, the first in rank first. The one
@@ -23,6 +27,7 @@
 type homes struct {
 	ranked   []home
 	replicas int
+	popular  int // homes that the prefix has because many ask for it; at least 1
 	shares   HomeShares
 }
 
@@ -39,25 +44,37 @@
 	return 0
 }
 
-// homesOf ranks the candidates for the request's last shared block. A prefix has one home, unless the routers agreed on
-// more.
-func (s *Selector) homesOf(from *backend, candidates []*target, request *Request, modelHash uint64) homes {
-	key, ok := prefixcache.HomeKey(modelHash, request.Prefix)
+// homesOf ranks the candidates for the request's last shared block. A prefix has one home, unless many ask for it or the routers
+// agreed on more.
+func (s *Selector) homesOf(c *choice, candidates []*target) homes {
+	key, ok := prefixcache.HomeKey(c.modelHash, c.request.Prefix)
 	if !ok {
 		return homes{}
 	}
-	replicas := s.replicas(from, request)
-	places := replicas + 1
+	popular := c.from.popular.homes(c.request.Now, key, len(candidates))
+	replicas := max(popular, s.replicas(c.from, c.request))
 	ranked := s.scratch.homes[:0]
 	for _, known := range candidates {
 		if known.isHome {
-			ranked = insertHome(ranked, places, home{target: known, weight: prefixcache.HomeWeight(known.homeHash, key)})
+			ranked = insertHome(ranked, replicas+1, home{target: known, weight: known.homeWeight(key)})
 		}
 	}
 	s.scratch.homes = ranked
-	return homes{ranked: ranked, replicas: replicas, shares: s.homeShares}
+	return homes{ranked: ranked, replicas: replicas, popular: popular, shares: s.homeShares}
+}
+
+// homeWeight ranks the instance as a home by weighted rendezvous hashing: its chance to be the first is in proportion to its share
+// of homes, and few homes move when the share of one instance changes.
+func (t *target) homeWeight(key prefixcache.Key) float64 {
+	uniform := (float64(prefixcache.HomeWeight(t.homeHash, key)>>uniformShift) + 0.5) / (1 << uniformBits)
+	return t.homeShare() / -math.Log(uniform)
 }
 
+const (
+	uniformBits  = 53 // what a float64 holds of a hash
+	uniformShift = 64 - uniformBits
+)
+
 // insertHome puts an instance in its place among at most so many.
 func insertHome(ranked []home, places int, found home) []home {
 	at := len(ranked)
--- a/internal/router/selection/pick.go
+++ b/internal/router/selection/pick.go
@@ -35,6 +35,8 @@
 	instance      *instances.Instance // as it was when it was picked
 	sentAt        time.Time
 	missing       int // prompt tokens expected to be read
+	outputTokens  int // of the answer at the most
+	isStream      bool
 	hasFirst      bool
 	firstByteTook time.Duration
 	isDone        bool
@@ -58,7 +60,11 @@
 		to.cache.Used(modelHash, request.Prefix)
 		s.fleetUse.note(request.Now, to, modelHash, prefixcache.Shared(request.Prefix))
 	}
-	return &Pick{selector: s, target: to, instance: to.instance, sentAt: request.Now, missing: missing}
+	return &Pick{
+		selector: s, target: to, instance: to.instance, sentAt: request.Now,
+		missing: missing, outputTokens: request.OutputTokens,
+		isStream: to.backend.isStream(request, to.backend.pace.Pace(to.backend.config.HasEngine)),
+	}
 }
 
 // ReportLoad enters the load that the attempt's answer told.
@@ -89,7 +95,7 @@
 }
 
 func (p *Pick) learnFirstByte(took time.Duration) {
-	ms := float64(took) / float64(time.Millisecond)
+	ms := inMilliseconds(took)
 	from := p.target.backend
 	if from.config.HasEngine {
 		from.pace.Read(float64(p.missing), ms)
@@ -177,8 +183,19 @@
 	if total <= 0 {
 		total = now.Sub(p.sentAt)
 	}
-	if p.target.backend.config.HasEngine {
-		total = max(0, total-p.firstByteTook)
+	from := p.target.backend
+	if !from.config.HasEngine {
+		from.pace.Served(inMilliseconds(total))
+		return
+	}
+	answer := inMilliseconds(max(0, total-p.firstByteTook))
+	from.pace.Served(answer)
+	if p.outputTokens > 0 {
+		from.tokenMs.add(answer / float64(p.outputTokens))
+	}
+	if !p.isStream {
+		from.promptMs.add(inMilliseconds(total))
 	}
-	p.target.backend.pace.Served(float64(total) / float64(time.Millisecond))
 }
+
+func inMilliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
--- a/internal/router/selection/selection.go
+++ b/internal/router/selection/selection.go
@@ -37,6 +37,7 @@
 	Widths   balance.Widths   // ths and thl
 	Weights  *balance.Weights // of the load figure
 	Homes    *HomeShares      // of shared blocks
+	Mixed    bool             // streams and prompts share all instances alike: there is no stream set
 	Detector Detector         // of bursts; nil: the one of internal/burst
 	Poll     PollFunc         // nil: no polling
 	// Assigned tells whether this router polls an instance for all routers; nil: each router polls for itself.
@@ -153,6 +154,7 @@
 		return nil, ErrNoInstance
 	}
 	from.requestedAt = request.Now
+	from.popular.note(&request)
 	chosen, missing := s.choose(from, &request)
 	if chosen == nil {
 		return nil, ErrNoInstance
--- a/internal/router/selection/target.go
+++ b/internal/router/selection/target.go
@@ -20,6 +20,18 @@
 	own      ownRequests
 	slowness float64 // its time for a request against the backend's mean
 	polling  pollState
+	// streamRank is its place in the rank by which streams prefer the backend's instances.
+	streamRank int
+}
+
+// streamShare is how far the instance belongs to a stream set of the given size: 1 wholly, 0 not at all.
+func (t *target) streamShare(size float64) float64 {
+	return min(1, max(0, size-float64(t.streamRank)))
+}
+
+// homeShare is its share of the homes of prefixes against that of an instance outside of the stream set.
+func (t *target) homeShare() float64 {
+	return 1 - (1-streamSetHomes)*t.streamShare(t.backend.streams.worth*t.backend.streams.size)
 }
 
 func newTarget(id string) *target {
