End the use of keys that were taken away at routers that cannot hear of it

Cause: where the platform sets closed, a router that was cut off went on with keys for as long as the cut lasted; closed and revoke_ms were read and used nowhere. Change: a key lease, nine tenths of revoke_ms from the begin of a quorum read. The coordinator's answers carry revision and age of its last read; a router without news reads for itself; after the lease requests with a key get 503, code 1021.

--- /dev/null
+++ b/internal/router/configlease/lease_test.go
@@ -0,0 +1,83 @@
+package configlease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const bound = 10 * time.Second
+
+func TestALeaseLastsFromWhereItsConfirmationBegan(t *testing.T) {
+	lease := New(bound)
+	assert.Assert(t, !lease.Holds(0))
+	lease.Apply(3)
+	lease.Confirm(20*time.Second, Confirmation{Revision: 3, Age: 4 * time.Second})
+	age, known := lease.Age(21 * time.Second)
+	assert.Assert(t, known)
+	assert.Equal(t, age, 5*time.Second+80*time.Millisecond)
+	assert.Assert(t, lease.Holds(24*time.Second))
+	assert.Assert(t, !lease.Holds(25*time.Second))
+}
+
+func TestAConfirmationWaitsForItsRevision(t *testing.T) {
+	lease := New(bound)
+	lease.Apply(3)
+	lease.Confirm(20*time.Second, Confirmation{Revision: 5})
+	assert.Assert(t, !lease.Holds(21*time.Second))
+	lease.Apply(4)
+	assert.Assert(t, !lease.Holds(21*time.Second))
+	lease.Apply(5)
+	assert.Assert(t, lease.Holds(21*time.Second))
+	assert.Assert(t, !lease.Holds(29*time.Second))
+}
+
+func TestAnOlderConfirmationTakesNothingBack(t *testing.T) {
+	lease := New(bound)
+	lease.Apply(3)
+	lease.Confirm(20*time.Second, Confirmation{Revision: 3})
+	lease.Confirm(21*time.Second, Confirmation{Revision: 2, Age: 8 * time.Second})
+	age, _ := lease.Age(21 * time.Second)
+	assert.Equal(t, age, time.Second)
+}
+
+func TestWhatIsToldIsAsOldAsWhatIsKnown(t *testing.T) {
+	lease := New(bound)
+	_, ok := lease.Tell(0)
+	assert.Assert(t, !ok)
+	lease.Apply(3)
+	lease.Confirm(20*time.Second, Confirmation{Revision: 3})
+	told, ok := lease.Tell(23 * time.Second)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, told, Confirmation{Revision: 3, Age: 3 * time.Second})
+	_, ok = lease.Tell(29 * time.Second)
+	assert.Assert(t, !ok, "nothing that has ended")
+}
+
+// TestPlain compares a lease with a list of all that it heard, which is looked through for each answer.
+func TestPlain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lease := New(bound)
+		var heard []confirmed
+		var applied uint64
+		now := time.Duration(0)
+		for range rapid.IntRange(1, maxWaiting).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			revision := rapid.Uint64Range(0, 5).Draw(t, "revision")
+			if rapid.Bool().Draw(t, "apply") {
+				lease.Apply(revision)
+				applied = max(applied, revision)
+			} else {
+				lease.Confirm(now, Confirmation{Revision: revision})
+				heard = append(heard, confirmed{revision: revision, at: now})
+			}
+			want := false
+			for _, known := range heard {
+				want = want || known.revision <= applied && now-known.at < lease.Duration()
+			}
+			assert.Equal(t, lease.Holds(now), want)
+		}
+	})
+}
--- a/internal/router/configstore/read.go
+++ b/internal/router/configstore/read.go
@@ -36,6 +36,20 @@
 	return store.propose(ctx, keepValue)
 }
 
+// Confirm returns the revision that was the newest at a quorum at some moment since the call began, and the store knows a state that is
+// no older then. Unlike Read it writes nothing: where the newest state found is not known to be chosen, it fails.
+func (store *Store) Confirm(ctx context.Context) (uint64, error) {
+	state, err := store.readQuorum(ctx)
+	if err != nil {
+		return 0, err
+	}
+	chosen, err := store.adoptRegister(state)
+	if err != nil {
+		return 0, err
+	}
+	return chosen.State.Revision, nil
+}
+
 // keepValue is the identity change.
 func keepValue(base casregister.Value) (casregister.Value, error) { return base, nil }
 
--- a/internal/router/front/admit.go
+++ b/internal/router/front/admit.go
@@ -123,6 +123,9 @@
 	if !c.table.RequiresKey(c.route) {
 		return nil
 	}
+	if holds := c.server.dependencies.KeysHold; holds != nil && !holds() {
+		return resultcode.New(resultcode.KeysUnconfirmed, "")
+	}
 	keys := c.incoming.Header[protocol.HeaderAPIKey]
 	if len(keys) == 0 {
 		return resultcode.New(resultcode.MissingKey, "")
--- a/internal/router/front/admit_test.go
+++ b/internal/router/front/admit_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +55,27 @@
 	}
 }
 
+// TestKeysThatMayHaveBeenTakenAway: nobody with a key is let in while the keys are not confirmed, known or unknown, and a route without
+// keys goes on.
+func TestKeysThatMayHaveBeenTakenAway(t *testing.T) {
+	instance := newStandIn(t, "i-1", ok)
+	var holds atomic.Bool
+	f := newFleet(t, func(_ *document.Configuration, d *Dependencies, _ *Options) { d.KeysHold = holds.Load }, instance)
+	for _, key := range []string{"key-a", "key-b"} {
+		response, body := f.ask(t, head("GET", "/keyed/", "Api-Key: "+key))
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(string(body), "keys_unconfirmed"), "%s", body)
+		assert.Assert(t, response.Header.Get(protocol.HeaderRetryAfter) != "")
+	}
+	response, _ := f.ask(t, head("GET", "/once/"))
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	holds.Store(true)
+	response, _ = f.ask(t, head("GET", "/keyed/", "Api-Key: key-a"))
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	response, _ = f.ask(t, head("GET", "/keyed/", "Api-Key: key-b"))
+	assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+}
+
 // TestSmuggledRequest checks that what hides behind a body that is framed twice is not served.
 func TestSmuggledRequest(t *testing.T) {
 	instance := newStandIn(t, "i-1", ok)
--- a/internal/router/front/front.go
+++ b/internal/router/front/front.go
@@ -47,6 +47,8 @@
 	Connections func(backend *routing.Backend) int
 	// Quota tells whether a tenant's request is inside its quota, or how long to wait.
 	Quota func(now time.Time, tenant *routing.Tenant, tokens int) (ok bool, retryAfter time.Duration)
+	// KeysHold tells whether the keys of the configuration in force may still be relied on; nil: always.
+	KeysHold func() bool
 	// Retry takes one repeat from the fleet's budget.
 	Retry func(now time.Time, backend string) bool
 	// CountRequest counts a client's request for a backend.
--- a/internal/router/node/configuration.go
+++ b/internal/router/node/configuration.go
@@ -25,7 +25,9 @@
 
 // configurationChosen puts a chosen configuration in force here and spreads it.
 func (n *Node) configurationChosen(chosen *configstore.Chosen) {
-	n.apply(chosen)
+	if n.apply(chosen) {
+		n.keys.apply(chosen.State.Revision)
+	}
 	n.cluster.Publish(softstate.Record{
 		Kind:    recordConfiguration,
 		Key:     configurationKey,
@@ -39,19 +41,19 @@
 	return softstate.Version{Epoch: chosen.State.Revision + 1, Sequence: chosen.Set.Epoch}
 }
 
-// apply swaps the routing table and what depends on it.
-func (n *Node) apply(chosen *configstore.Chosen) {
+// apply swaps the routing table and what depends on it, and tells whether the state is in force here.
+func (n *Node) apply(chosen *configstore.Chosen) bool {
 	n.applyPrefixes(chosen)
 	if len(chosen.State.Document) == 0 {
-		return
+		return true
 	}
 	if table := n.table.Load(); table != nil && table.Generation() == chosen.State.Generation {
-		return // only the acceptor set or the common prefixes have changed
+		return true // only the acceptor set or the common prefixes have changed
 	}
 	parsed, err := document.ParseAfter(n.document.Load(), chosen.State.Document)
 	if err != nil {
 		n.log.WithError(err).Error("the chosen configuration cannot be read")
-		return
+		return false
 	}
 	table := routing.Build(parsed)
 	n.selector.SetBackends(backendConfigs(table))
@@ -60,6 +62,7 @@
 	n.table.Store(table)
 	n.quotasChanged(table)
 	n.log.WithField("generation", chosen.State.Generation).Info("configuration in force")
+	return true
 }
 
 // backendConfigs lists what the selection wants to know of the services.
--- a/internal/router/node/front.go
+++ b/internal/router/node/front.go
@@ -29,6 +29,7 @@
 		Pool:         n.attempts,
 		Connections:  n.connections,
 		Quota:        n.admit,
+		KeysHold:     n.keysHold(),
 		Retry:        n.mayRetry,
 		CountRequest: n.shares.CountRequest,
 		Log:          n.log,
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -63,6 +63,7 @@
 	sightings *blockSightings // nil: nothing is told
 	attempts  *attempt.Pool
 	shares    *shares.Shares
+	keys      *keyLease // nil: keys that were taken away may be used for as long as a router does not hear of it
 	fleet     fleetKnowledge
 	front     *front.Server
 	table     atomic.Pointer[routing.Table]
@@ -129,6 +130,7 @@
 		n.startStore,
 		n.startCluster,
 		n.startSelection,
+		n.startKeyLease,
 		n.startShares,
 		n.startPrefixes,
 		n.joinCluster,
--- a/internal/router/node/partition_test.go
+++ b/internal/router/node/partition_test.go
@@ -28,6 +28,8 @@
 	// groups holds the number of the line that an address stands on.
 	groups atomic.Pointer[map[string]int]
 	closed chan struct{}
+	// followed is the file's content that was taken over last.
+	followed string
 }
 
 // followPartition reads the file until the partition is closed.
@@ -58,8 +60,15 @@
 		}
 	}
 	p.groups.Store(&groups)
+	if followed := string(content); followed != p.followed {
+		p.followed = followed
+		_ = os.WriteFile(followedPath(path, p.self), content, 0o600) // a test that waits for it fails by itself
+	}
 }
 
+// followedPath is where the process at an address writes which partition it goes by.
+func followedPath(path, address string) string { return path + "." + address }
+
 func (p *partition) isCut(host string) bool {
 	groups := *p.groups.Load()
 	return groups[host] != groups[p.self]
--- a/internal/router/node/process_test.go
+++ b/internal/router/node/process_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,7 +76,7 @@
 }
 
 // startProcesses starts a fleet of which the first machines have disks.
-func startProcesses(t *testing.T, count, disks int) *processFleet {
+func startProcesses(t *testing.T, count, disks int, changes ...func(*settings.Settings)) *processFleet {
 	t.Helper()
 	folder := t.TempDir()
 	fleet := &processFleet{t: t, partition: filepath.Join(folder, "partition")}
@@ -93,6 +94,9 @@
 		s.CountsForQuorum = i < disks
 		s.Tolerate.Machines = max(0, disks-1) / 2
 		s.HeartbeatMs = 1000
+		for _, change := range changes {
+			change(s)
+		}
 		fleet.routers = append(fleet.routers, &process{fleet: fleet, settings: s})
 	}
 	t.Cleanup(func() { fleet.kill(fleet.routers...) })
@@ -153,9 +157,18 @@
 	assert.NilError(fleet.t, writePartition(fleet.partition, lists...))
 }
 
-// awaitCut waits until routers that were cut off go by it: from then on no call of theirs gets through.
+// awaitCut waits until all processes go by the cut, and until routers that were cut off give no answers: a crowded machine alone may
+// have them give none.
 func (fleet *processFleet) awaitCut(routers ...*process) {
 	fleet.t.Helper()
+	wanted, err := os.ReadFile(fleet.partition)
+	assert.NilError(fleet.t, err)
+	for _, router := range fleet.routers {
+		fleet.waitFor("the cut to be in place at "+router.settings.Node, func() bool {
+			followed, _ := os.ReadFile(followedPath(fleet.partition, router.settings.IP))
+			return bytes.Equal(followed, wanted)
+		})
+	}
 	for _, router := range routers {
 		fleet.waitFor("the cut at "+router.settings.Node, func() bool {
 			status, _ := router.read()
@@ -198,8 +211,15 @@
 func (router *process) mustPut(base, generation int) {
 	t := router.fleet.t
 	t.Helper()
-	router.fleet.waitFor(fmt.Sprintf("the acknowledgement of %d on %d", generation, base), func() bool {
-		return router.put(base, generation) == http.StatusOK
+	router.mustPutBody(base, configurationOf(generation))
+}
+
+// mustPutBody sends a whole configuration until it is acknowledged.
+func (router *process) mustPutBody(base int, body string) {
+	router.fleet.t.Helper()
+	router.fleet.waitFor(fmt.Sprintf("the acknowledgement of a change on %d", base), func() bool {
+		status, _ := router.send(http.MethodPost, protocol.PathConfigPut, base, body)
+		return status == http.StatusOK
 	})
 }
 
--- a/internal/router/node/readiness.go
+++ b/internal/router/node/readiness.go
@@ -97,8 +97,13 @@
 func (n *Node) readFresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, freshReadTimeout)
 	defer cancel()
-	_, err := n.store.Read(ctx)
-	return err == nil
+	askedAt := time.Now()
+	state, err := n.store.Read(ctx)
+	if err != nil {
+		return false
+	}
+	n.keys.confirmed(askedAt, state.Revision)
+	return true
 }
 
 // awaitInstances returns once each service has an instance that is ready, or the time is over.
--- a/internal/router/node/shares.go
+++ b/internal/router/node/shares.go
@@ -30,12 +30,18 @@
 		Routers:         n.fleetSize,
 		MayCoordinate:   s.ServesTo(settings.ServesControl),
 	}
+	if n.keys != nil {
+		options.Confirmations = n.keys
+	}
 	if s.Acceptor() {
 		options.Floors = &floorStore{directory: s.DataDir}
 	}
 	n.shares = shares.New(options)
 	n.transport.Handle(messageShares, n.shares.HandleRequest)
 	n.background.Go(func() { n.shares.Run(ctx) })
+	if n.keys != nil {
+		n.background.Go(func() { n.keys.run(ctx) })
+	}
 	n.startFleetMemory(ctx, s)
 	return nil
 }
--- a/internal/router/resultcode/codes.go
+++ b/internal/router/resultcode/codes.go
@@ -25,6 +25,7 @@
 	Overloaded           Code = 1018
 	NeverSent            Code = 1019
 	StreamBroken         Code = 1020
+	KeysUnconfirmed      Code = 1021
 )
 
 // The operator's configuration.
--- a/internal/router/resultcode/table.go
+++ b/internal/router/resultcode/table.go
@@ -64,6 +64,7 @@
 	Entry{Overloaded, "overloaded", http.StatusServiceUnavailable, "The router has no room for the request; it has not run."},
 	Entry{NeverSent, "never_sent", http.StatusServiceUnavailable, "No instance could be reached; the request has not run."},
 	Entry{StreamBroken, "stream_broken", http.StatusBadGateway, "The stream of events ended before its last event."},
+	Entry{KeysUnconfirmed, "keys_unconfirmed", http.StatusServiceUnavailable, "The router has not been sure for long that no key was taken away; the request has not run."},
 
 	Entry{ConfigurationUnreadable, "configuration_unreadable", http.StatusBadRequest, "The body is not one whole JSON document of the expected types."},
 	Entry{FieldInvalid, "field_invalid", http.StatusBadRequest, "A field is missing or has a value outside its range."},
--- a/internal/router/shares/exchangeloop.go
+++ b/internal/router/shares/exchangeloop.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	report := s.makeReport()
+	askedAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := s.call(callCtx, address, request{Exchange: &report})
@@ -55,6 +56,9 @@
 		return errors.Wrapf(errNoCoordinator, "%s isn't the coordinator", address)
 	}
 	s.apply(*reply.Answer)
+	if told := reply.Answer.Confirmation; told != nil && s.options.Confirmations != nil {
+		s.options.Confirmations.Take(askedAt, *told)
+	}
 	return nil
 }
 
--- a/internal/router/shares/handle.go
+++ b/internal/router/shares/handle.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/pkg/errors"
+
+	"pewterrudder/internal/router/configlease"
 )
 
 // errNoPart says that a request asks for nothing that this version knows.
@@ -35,6 +37,7 @@
 	case message.Exchange != nil:
 		result, ok := s.role.report(now, s.rules(), *message.Exchange)
 		if ok {
+			result.Confirmation = s.confirmation()
 			return response{Answer: &result}, nil
 		}
 		return response{Coordinator: s.role.holder(now, s.options.Address)}, nil
@@ -45,6 +48,18 @@
 	}
 }
 
+// confirmation is what the coordinator adds to its answers; nil: nothing.
+func (s *Shares) confirmation() *configlease.Confirmation {
+	if s.options.Confirmations == nil {
+		return nil
+	}
+	told, ok := s.options.Confirmations.Tell()
+	if !ok {
+		return nil
+	}
+	return &told
+}
+
 // call sends a message to a router, which may be this one.
 func (s *Shares) call(ctx context.Context, address string, message request) (response, error) {
 	if address == s.options.Address {
--- a/internal/router/shares/message.go
+++ b/internal/router/shares/message.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"pewterrudder/internal/router/configlease"
 	"pewterrudder/internal/router/lease"
 	"pewterrudder/internal/router/quota"
 	"pewterrudder/internal/router/retrybudget"
@@ -40,6 +41,8 @@
 type answer struct {
 	Quota quota.ShareAnswer  `msgpack:"quota"`
 	Retry retrybudget.Answer `msgpack:"retry"`
+	// Confirmation says how new the coordinator's configuration is, if it is asked for.
+	Confirmation *configlease.Confirmation `msgpack:"confirmation,omitempty"`
 }
 
 func encodeRequest(message request) ([]byte, error) {
--- a/internal/router/shares/shares.go
+++ b/internal/router/shares/shares.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pewterrudder/internal/router/configlease"
 	"pewterrudder/internal/router/lease"
 	"pewterrudder/internal/router/quota"
 	"pewterrudder/internal/router/retrybudget"
@@ -48,12 +49,22 @@
 	GrantorsSettled func() bool
 	// Routers describes the fleet as far as this router has met it.
 	Routers func() FleetSize
+	// Confirmations carries along how new the configuration is; nil: nobody asks.
+	Confirmations Confirmations
 	// Floors keeps floors of quotas on the router's disk; nil: it has none.
 	Floors FloorStore
 	// MayCoordinate allows the router to become the coordinator while it is one of the grantors.
 	MayCoordinate bool
 }
 
+// Confirmations are told by the coordinator to all routers, each with its age.
+type Confirmations interface {
+	// Tell is what this router tells as the coordinator; false: nothing.
+	Tell() (configlease.Confirmation, bool)
+	// Take takes what the coordinator told in answer to a call that began at the given time.
+	Take(askedAt time.Time, told configlease.Confirmation)
+}
+
 // FleetSize is the number of routers, as one of them sees it.
 type FleetSize struct {
 	Live int
