Keep streams apart by as much as prompts are read; play homes and widths in the engine lab

Change: the set's preference and its share of homes grow with the share of the time in which prompts are read outside, from a tenth to a quarter. The room that streams have no longer shrinks with it.

--- a/internal/lab/enginelab/fleet.go
+++ b/internal/lab/enginelab/fleet.go
@@ -22,6 +22,7 @@
 	Kinds     []Kind
 	Faults    []Fault
 	Length    time.Duration
+	CountFrom time.Duration // requests that arrive earlier are not counted, nor is what is read earlier
 	// SightingsAgain is the time within which reading a shared block again is waste; 0: routers don't tell each other where
 	// blocks are sent, and reading again is always waste.
 	SightingsAgain time.Duration
@@ -51,7 +52,7 @@
 	routers  []*router
 	clients  []*router // by client
 	result   Result
-	lastUse  map[uint64]time.Duration // of shared blocks, anywhere
+	wasRead  map[uint64]bool // shared blocks, anywhere
 }
 
 type machine struct {
@@ -69,7 +70,7 @@
 func Run(setup Setup) *Result {
 	f := &fleet{
 		setup: &setup, random: rand.New(rand.NewPCG(setup.Seed, 1)),
-		byID: map[string]*machine{}, lastUse: map[uint64]time.Duration{},
+		byID: map[string]*machine{}, wasRead: map[uint64]bool{},
 		result: Result{Kinds: map[string]*KindResult{}},
 	}
 	f.buildMachines()
@@ -182,12 +183,12 @@
 // noteRead counts shared tokens that were read before, somewhere, and are read again.
 func (f *fleet) noteRead(shared, missing []prefixcache.Block) {
 	for _, block := range prefixcache.Shared(missing) {
-		if _, wasRead := f.lastUse[block.ID]; wasRead {
+		if f.wasRead[block.ID] && f.clock.now >= f.setup.CountFrom {
 			f.result.ReadAgain += float64(block.Tokens)
 		}
 	}
 	for _, block := range shared {
-		f.lastUse[block.ID] = f.clock.now
+		f.wasRead[block.ID] = true
 	}
 }
 
@@ -240,9 +241,13 @@
 	f.clock.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), func() { f.arrive(from) })
 	blocks := from.draw(hot)
 	events := max(1, int(from.kind.Events.draw(f.random)))
+	counted := f.result.Kinds[from.kind.Name]
+	if f.clock.now < f.setup.CountFrom {
+		counted = &KindResult{}
+	}
 	f.send(&exchange{
 		kind:    &from.kind,
-		result:  f.result.Kinds[from.kind.Name],
+		result:  counted,
 		at:      f.clients[f.random.IntN(len(f.clients))],
 		arrived: f.clock.now,
 		job:     &job{blocks: blocks, prompt: prefixcache.Tokens(blocks), output: events * f.setup.Engine.StrideTokens},
@@ -291,6 +296,7 @@
 func (f *fleet) event(request *exchange, from *machine) {
 	now := f.clock.now
 	if request.lastAt == 0 {
+		request.result.FirstMs = append(request.result.FirstMs, float64(now-request.arrived)/float64(time.Millisecond))
 		request.pick.FirstByte(f.wallClock())
 		request.pick.ReportLoad(f.wallClock(), selection.Load{
 			Running: len(from.engine.running), Waiting: len(from.engine.waiting), Slots: f.setup.Engine.Slots,
--- a/internal/lab/enginelab/policy_bench_test.go
+++ b/internal/lab/enginelab/policy_bench_test.go
@@ -4,11 +4,46 @@
 	"flag"
 	"sync"
 	"testing"
+	"time"
+
+	"pewterrudder/internal/router/balance"
+	"pewterrudder/internal/router/selection"
 )
 
 var seedCount = flag.Int("enginelab.seeds", 4, "seeds of each day in BenchmarkPolicy")
 
-// BenchmarkPolicy plays the days on several seeds; "-benchtime 1x" is enough.
+// arm is one way to pick.
+type arm struct {
+	name   string
+	change func(*Setup)
+}
+
+func withWeights(change func(*balance.Weights)) func(*Setup) {
+	return func(day *Setup) {
+		weights := balance.DefaultWeights
+		change(&weights)
+		day.Selection.Weights = &weights
+	}
+}
+
+func arms() []arm {
+	return []arm{
+		{"in service", func(*Setup) {}},
+		{"no stream set", func(day *Setup) { day.Selection.Mixed = true }},
+		{"no homes", func(day *Setup) { *day = withoutHomes(*day) }},
+		{"no second home", func(day *Setup) { day.Selection.Homes = &selection.HomeShares{First: 1} }},
+		{"read again 0", withWeights(func(w *balance.Weights) { w.ReadAgain = 0 })},
+		{"read again 3", withWeights(func(w *balance.Weights) { w.ReadAgain = 3 })},
+		{"read again 30", withWeights(func(w *balance.Weights) { w.ReadAgain = 30 })},
+		{"engine occupancy 0", withWeights(func(w *balance.Weights) { w.EngineOccupancy = 0 })},
+		{"engine occupancy 2", withWeights(func(w *balance.Weights) { w.EngineOccupancy = 2 })},
+		{"ths 2", func(day *Setup) { *day = withWidths(*day, balance.Widths{Rest: 2, BurstShare: 0.5}) }},
+		{"thl 1", func(day *Setup) { *day = withWidths(*day, balance.Widths{Rest: 1}) }},
+		{"sightings of 20 s", func(day *Setup) { day.SightingsAgain = 20 * time.Second }},
+	}
+}
+
+// BenchmarkPolicy plays the days with each arm on several seeds; "-benchtime 1x" is enough.
 func BenchmarkPolicy(b *testing.B) {
 	days := []struct {
 		name string
@@ -19,11 +54,18 @@
 		{"leaving", leavingDay},
 	}
 	for _, played := range days {
-		b.Run(played.name, func(b *testing.B) {
-			for b.Loop() {
-				report(b, playSeeds(played.day))
-			}
-		})
+		for _, arm := range arms() {
+			b.Run(played.name+"/"+arm.name, func(b *testing.B) {
+				changed := func(seed uint64) Setup {
+					day := played.day(seed)
+					arm.change(&day)
+					return day
+				}
+				for b.Loop() {
+					report(b, playSeeds(changed))
+				}
+			})
+		}
 	}
 }
 
--- a/internal/lab/enginelab/result.go
+++ b/internal/lab/enginelab/result.go
@@ -1,5 +1,10 @@
 package enginelab
 
+import (
+	"math"
+	"slices"
+)
+
 // Result is what a run showed.
 type Result struct {
 	Kinds map[string]*KindResult
@@ -16,6 +21,16 @@
 	LateFirst int
 	LatePause int
 	Refused   int
+	FirstMs   []float64 // times to the first event
+}
+
+// MedianFirstMs is the median time to the first event.
+func (k *KindResult) MedianFirstMs() float64 {
+	if len(k.FirstMs) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Sorted(slices.Values(k.FirstMs))
+	return sorted[len(sorted)/2]
 }
 
 // Late is the share of the requests that were late.
--- a/internal/router/selection/choose.go
+++ b/internal/router/selection/choose.go
@@ -80,7 +80,7 @@
 
 // describe is what is known of an instance for this request.
 func (s *Selector) describe(c *choice, known *target) balance.Candidate {
-	streamShare := known.streamShare(c.from.streamSpace())
+	streamShare := c.from.streams.worth * known.streamShare(c.from.streamSpace())
 	holdMs := c.outputMs * streamShare
 	queued, held := c.unknown.queued, c.unknown.held
 	if known.load.isKnown {
--- a/internal/router/selection/streamset.go
+++ b/internal/router/selection/streamset.go
@@ -26,10 +26,11 @@
 	// of them is too much to take from the prompts.
 	streamSetMost = 0.5
 	streamSetOut  = 1
-	// readingMost is the share of the time for which prompts may be read on the other instances for the set to grow, and
-	// readingLeast the one below which nothing need be kept apart.
+	// The shares of the time for which prompts are read on the other instances: up to readingLeast pauses are rare and nothing need be
+	// kept apart, from readingFull on it is worth all that it costs, and beyond readingMost the others have no more to spare.
+	readingLeast = 0.1
+	readingFull  = 0.25
 	readingMost  = 0.6
-	readingLeast = 0.05
 	// streamSetHomes is the share of homes of an instance in the set against that of another one: some reading does little harm.
 	streamSetHomes = 0.25
 	// streamGrowth is the room that streams have beyond the set, in instances, and streamRoom the least that they have, as a share of
@@ -50,7 +51,7 @@
 type streamSet struct {
 	size    float64 // in instances; the last one belongs to it in part
 	reading float64 // share of the time for which prompts are read on the instances outside
-	worth   float64 // 1 where enough is read for streams to be kept apart, 0 where nothing is read
+	worth   float64 // of keeping streams apart: 1 where so much is read outside that they would pause often, 0 where little is
 	sizedAt time.Time
 }
 
@@ -75,7 +76,7 @@
 	loads := b.sumLoads()
 	reading := b.reading(&loads, pace)
 	b.streams.reading = min(1, reading/max(1, loads.instances-b.streams.size))
-	b.streams.worth = min(1, b.streams.reading/readingLeast)
+	b.streams.worth = min(1, max(0, (b.streams.reading-readingLeast)/(readingFull-readingLeast)))
 	wanted := loads.streams() / max(1, streamFill*loads.meanSlots()) * (1 + streamSetSpare)
 	most := max(0, min(streamSetMost*loads.instances-streamSetOut, loads.instances-reading/readingMost))
 	b.streams.size = min(most, max(wanted, min(b.streams.size, wanted+streamSetSlack)))
@@ -155,7 +156,7 @@
 	}
 	instances := float64(len(b.targets))
 	space := max(b.streams.size+streamGrowth, streamRoom*instances)
-	return b.streams.worth * max(0, min(space, streamSetMost*instances-streamSetOut))
+	return max(0, min(space, streamSetMost*instances-streamSetOut))
 }
 
 // streamWidth is the number of least loaded instances among which a stream is sent: half of the set, since many routers know the same
--- a/internal/router/selection/target.go
+++ b/internal/router/selection/target.go
@@ -31,7 +31,8 @@
 
 // homeShare is its share of the homes of prefixes against that of an instance outside of the stream set.
 func (t *target) homeShare() float64 {
-	return 1 - (1-streamSetHomes)*t.streamShare(t.backend.streams.worth*t.backend.streams.size)
+	streams := &t.backend.streams
+	return 1 - (1-streamSetHomes)*streams.worth*t.streamShare(streams.size)
 }
 
 func newTarget(id string) *target {
