Bound the wait for a terminal's program, and say where it stands if it runs on

Cause: TestAnEveningEndsTheSameHoweverItBreaksOff hung twice in whole runs beside load, in both sessions that hang up, until the limit of 300 s and without a trace. Change: after 30 s the test fails with the program's state in the kernel and the stacks of the test.

--- a/cmd/rudderctl/rig_test.go
+++ b/cmd/rudderctl/rig_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -381,10 +382,29 @@
 // kill is kill -9.
 func (s *terminal) kill() {
 	s.cmd.Process.Signal(syscall.SIGKILL)
-	<-s.ended
+	s.awaitEnd("it was killed")
 	s.hangUp()
 }
 
+// awaitEnd waits for the program's end, which is at hand. If it does not come, the test ends with what the kernel says of the program and
+// where this process stands: a hang was seen on a crowded machine, and left no trace.
+func (s *terminal) awaitEnd(since string) {
+	s.t.Helper()
+	select {
+	case <-s.ended:
+		return
+	case <-time.After(longAgo):
+	}
+	var seen strings.Builder
+	for _, name := range []string{"status", "wchan", "syscall"} {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", s.cmd.Process.Pid, name))
+		fmt.Fprintf(&seen, "%s (%v):\n%s\n", name, err, text)
+	}
+	stacks := make([]byte, 1<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	s.t.Fatalf("the program runs on though %s\n%s\n%s", since, seen.String(), stacks)
+}
+
 // hangUp takes the line away: the program gets SIGHUP, and its reads end.
 func (s *terminal) hangUp() {
 	s.file.Close()
--- a/cmd/rudderctl/session_test.go
+++ b/cmd/rudderctl/session_test.go
@@ -41,7 +41,7 @@
 		s.kill()
 	case "hung up":
 		s.hangUp()
-		<-s.ended
+		s.awaitEnd("its line has gone")
 	case "box dies": // at its next edit, between the disk's word and the answer; the session itself goes on
 		c.over = make(chan struct{})
 		c.rig.mu.Lock()
