--- a/internal/router/balance/figure.go
+++ b/internal/router/balance/figure.go
@@ -47,38 +47,54 @@
 	MeanPrompt  float64 // tokens of a prompt
 }
 
-// Figure is the wait that a request is expected to meet at a candidate, in ms, and the price of what it would read
-// again and of what it would delay, as ms.
+// Figure is the wait that a request is expected to meet at a candidate, and the price of what it would read again and of what would hold
+// its answer up, all in ms. What depends on the instance's speed grows with its slowness.
 func (w *Weights) Figure(candidate *Candidate, pace Pace) float64 {
-	readsPrompts := pace.TokensPerMs > 0 && !w.IgnorePrompt
-	figure := w.occupancy(candidate, pace) + slotWait(candidate, pace)
-	if readsPrompts {
-		figure += (candidate.PendingTokens + candidate.MissingTokens) / pace.TokensPerMs
+	wait := w.occupancy(candidate, pace) + slotWait(candidate, pace)
+	price := w.otherZone(candidate)
+	if pace.TokensPerMs > 0 && !w.IgnorePrompt {
+		wait += reading(candidate, pace)
+		price += w.readAgain(candidate, pace) + w.delayed(candidate)
 	}
 	if candidate.Slowness > 0 {
-		figure *= candidate.Slowness
+		wait *= candidate.Slowness
 	}
-	if readsPrompts {
-		figure += w.ReadAgain * candidate.MissingShared / pace.TokensPerMs
-		figure += w.Delayed * candidate.ReadingShare * candidate.OutputMs
-	}
-	return figure + w.otherZone(candidate)
+	return wait + price
+}
+
+// reading is the time to read the prompts that wait there and this request's own, in ms. Sources: the queue that was last told and
+// this router's own requests; the estimate of the blocks that the instance keeps; the speed learned from first tokens.
+func reading(candidate *Candidate, pace Pace) float64 {
+	return (candidate.PendingTokens + candidate.MissingTokens) / pace.TokensPerMs
+}
+
+// readAgain is the price of shared tokens that another instance keeps and this one would have to read, in ms of reading. Sources: as for
+// reading, and what other routers tell of blocks or the homes of prefixes.
+func (w *Weights) readAgain(candidate *Candidate, pace Pace) float64 {
+	return w.ReadAgain * candidate.MissingShared / pace.TokensPerMs
+}
+
+// delayed is the price of the pauses of a long answer where prompts are read beside it, in ms. Sources: the share of the time for which
+// prompts are read there, by Little's law from the loads of all instances; the time for a token, learned from answers.
+func (w *Weights) delayed(candidate *Candidate) float64 {
+	return w.Delayed * candidate.ReadingShare * candidate.OutputMs
 }
 
-// occupancy is the price of the slots that are taken, in ms.
+// occupancy is the price of the slots that are taken, in ms. Sources: the loads that instances tell in reports and answers.
 func (w *Weights) occupancy(candidate *Candidate, pace Pace) float64 {
 	held := candidate.Queued + candidate.Running
 	return w.occupancyMs(pace) * held / max(1, candidate.Slots)
 }
 
-// slotWait is the time for which the request is expected to wait for a slot, in ms.
+// slotWait is the time for which the request is expected to wait for a slot, in ms. Sources: as for occupancy; the time for which requests
+// hold their slots, learned from answers, or this request's own where streams are.
 func slotWait(candidate *Candidate, pace Pace) float64 {
 	slots := max(1, candidate.Slots)
 	over := candidate.Queued + candidate.Running + 1 - slots
 	return max(pace.ServiceMs, candidate.HoldMs) * max(0, over) / slots
 }
 
-// otherZone is the price of an attempt in another zone, in ms.
+// otherZone is the price of an attempt in another zone, in ms. Sources: the zones in settings and heartbeats; the request's length.
 func (w *Weights) otherZone(candidate *Candidate) float64 {
 	if !candidate.OtherZone {
 		return 0
