--- a/internal/lab/enginelab/engine.go
+++ b/internal/lab/enginelab/engine.go
@@ -39,7 +39,7 @@
 // engine is the plain model of one instance's engine.
 type engine struct {
 	spec     *EngineSpec
-	clock    *clock
+	clock    clock
 	kept     *keptBlocks
 	waiting  []*job // or being read, in order
 	running  []*job
@@ -50,7 +50,7 @@
 	onRead   func(shared []prefixcache.Block, missing []prefixcache.Block)
 }
 
-func newEngine(spec *EngineSpec, clock *clock) *engine {
+func newEngine(spec *EngineSpec, clock clock) *engine {
 	return &engine{spec: spec, clock: clock, kept: newKeptBlocks(spec.Capacity), slowness: 1}
 }
 
--- a/internal/lab/enginelab/enginelab_test.go
+++ b/internal/lab/enginelab/enginelab_test.go
@@ -84,15 +84,15 @@
 func TestAnEngineReadsByChunksAndMakesATokenAStep(t *testing.T) {
 	spec := twelveSlots()
 	spec.SlotMs, spec.ContextMs = 0, 0
-	var now clock
-	played := newEngine(&spec, &now)
+	now := newClock()
+	played := newEngine(&spec, now)
 	var events []time.Duration
 	entered := &job{
 		blocks: []prefixcache.Block{{ID: 1, Tokens: 6000}, {ID: 2, Tokens: 3000}}, prompt: 9000, output: 2*spec.StrideTokens + 1,
-		onEvent: func() { events = append(events, now.now) }, onEnd: func() {},
+		onEvent: func() { events = append(events, now.Now()) }, onEnd: func() {},
 	}
 	assert.Assert(t, played.enter(entered))
-	now.run(time.Minute)
+	now.Run(time.Minute)
 	first := plainReading(&spec, 9000)
 	stride := spec.StepMs * float64(spec.StrideTokens)
 	assert.Equal(t, len(events), 3)
--- a/internal/lab/enginelab/fleet.go
+++ b/internal/lab/enginelab/fleet.go
@@ -70,7 +70,7 @@
 func Run(setup Setup) *Result {
 	f := &fleet{
 		setup: &setup, random: rand.New(rand.NewPCG(setup.Seed, 1)),
-		byID: map[string]*machine{}, wasRead: map[uint64]bool{},
+		clock: newClock(), byID: map[string]*machine{}, wasRead: map[uint64]bool{},
 		result: Result{Kinds: map[string]*KindResult{}},
 	}
 	f.buildMachines()
@@ -84,12 +84,12 @@
 	for _, fault := range setup.Faults {
 		f.clock.after(fault.At, func() { f.begin(fault) })
 	}
-	f.clock.run(setup.Length)
+	f.clock.Run(setup.Length)
 	f.result.finish(f.machines)
 	return &f.result
 }
 
-func (f *fleet) wallClock() time.Time { return epoch.Add(f.clock.now) }
+func (f *fleet) wallClock() time.Time { return epoch.Add(f.clock.Now()) }
 
 func (f *fleet) buildMachines() {
 	for i := range f.setup.Instances {
@@ -97,7 +97,7 @@
 			ID: fmt.Sprintf("i-%d-%d", f.setup.Seed, i), Backend: backendName, Zone: fmt.Sprint(i % f.setup.Zones),
 			Slots: f.setup.Engine.Slots, State: protocol.StateReady,
 		}
-		built := &machine{info: info, engine: newEngine(&f.setup.Engine, &f.clock)}
+		built := &machine{info: info, engine: newEngine(&f.setup.Engine, f.clock)}
 		built.engine.onRead = f.noteRead
 		f.machines = append(f.machines, built)
 		f.byID[info.ID] = built
@@ -183,7 +183,7 @@
 // noteRead counts shared tokens that were read before, somewhere, and are read again.
 func (f *fleet) noteRead(shared, missing []prefixcache.Block) {
 	for _, block := range prefixcache.Shared(missing) {
-		if f.wasRead[block.ID] && f.clock.now >= f.setup.CountFrom {
+		if f.wasRead[block.ID] && f.clock.Now() >= f.setup.CountFrom {
 			f.result.ReadAgain += float64(block.Tokens)
 		}
 	}
@@ -222,7 +222,7 @@
 	perSecond = kind.PerSecond
 	for i := range f.setup.Faults {
 		fault := &f.setup.Faults[i]
-		if fault.Of != kind.Name || !fault.isOn(f.clock.now) {
+		if fault.Of != kind.Name || !fault.isOn(f.clock.Now()) {
 			continue
 		}
 		switch fault.Kind {
@@ -242,14 +242,14 @@
 	blocks := from.draw(hot)
 	events := max(1, int(from.kind.Events.draw(f.random)))
 	counted := f.result.Kinds[from.kind.Name]
-	if f.clock.now < f.setup.CountFrom {
+	if f.clock.Now() < f.setup.CountFrom {
 		counted = &KindResult{}
 	}
 	f.send(&exchange{
 		kind:    &from.kind,
 		result:  counted,
 		at:      f.clients[f.random.IntN(len(f.clients))],
-		arrived: f.clock.now,
+		arrived: f.clock.Now(),
 		job:     &job{blocks: blocks, prompt: prefixcache.Tokens(blocks), output: events * f.setup.Engine.StrideTokens},
 	})
 }
@@ -294,7 +294,7 @@
 
 // event passes an event of the answer on.
 func (f *fleet) event(request *exchange, from *machine) {
-	now := f.clock.now
+	now := f.clock.Now()
 	if request.lastAt == 0 {
 		request.result.FirstMs = append(request.result.FirstMs, float64(now-request.arrived)/float64(time.Millisecond))
 		request.pick.FirstByte(f.wallClock())
@@ -314,5 +314,5 @@
 
 func (f *fleet) end(request *exchange) {
 	request.result.Ended++
-	request.pick.Done(f.wallClock(), selection.Outcome{Result: selection.Succeeded, Total: f.clock.now - request.arrived})
+	request.pick.Done(f.wallClock(), selection.Outcome{Result: selection.Succeeded, Total: f.clock.Now() - request.arrived})
 }
