End the other clients' heartbeats before they stop in the interop test

Cause: TestOtherPeoplesClients was red once beside three busy processes: an instance was still listed 20 s after its client had stopped. Their client registers anew when a heartbeat that is under way at its stop is answered 404 after its farewell (read from how it answers, not from that run). Change: its heartbeats are ended and answered before it stops; what is checked stays.

--- a/internal/lab/eurekad/testdata/interop.js
+++ b/internal/lab/eurekad/testdata/interop.js
@@ -12,8 +12,10 @@
 const quiet = { error() {}, warn() {}, info() {}, debug() {} };
 const patience = 20000;
 
+const underWay = new Map(); // requests of each client that are not answered yet
+
 function client(app, n, metadata) {
-  return new Eureka({
+  const made = new Eureka({
     logger: quiet,
     instance: {
       app, instanceId: `js-${n}`, hostName: `js${n}.example`, ipAddr: `10.1.0.${n}`, vipAddress: 'js',
@@ -26,10 +28,26 @@
     },
     shouldUseDelta: true,
   });
+  underWay.set(made, 0);
+  const request = made.eurekaRequest.bind(made);
+  made.eurekaRequest = (options, answered, ...more) => {
+    underWay.set(made, underWay.get(made) + 1);
+    request(options, (...answer) => {
+      underWay.set(made, underWay.get(made) - 1);
+      answered(...answer);
+    }, ...more);
+  };
+  return made;
 }
 
 const start = (c) => new Promise((ok, no) => c.start((err) => (err ? no(err) : ok())));
-const stop = (c) => new Promise((ok, no) => c.stop((err) => (err ? no(err) : ok())));
+// Theirs registers anew when a heartbeat that was under way at its stop comes after its farewell, and is answered 404. So the heartbeats
+// end before it stops.
+async function stop(c) {
+  clearInterval(c.heartbeat);
+  await until('its heartbeats are answered', () => underWay.get(c) === 0);
+  await new Promise((ok, no) => { c.stop((err) => (err ? no(err) : ok())); });
+}
 const read = (...args) => new Promise((ok, no) => execFile(rudderlab, ['eurekad', 'read', '--address', url, ...args],
   (err, out, log) => (err ? no(new Error(`${err.message} ${log}`)) : ok(JSON.parse(out)))));
 const post = (path) => new Promise((ok, no) => http.request({ host: at.hostname, port: at.port, path, method: 'POST' },
