Give few streams room on four instances, so that one crash breaks a quarter

Change: streams have room on four instances at the least, within the bounds that the set has. Homes of prefixes are left where they are.

--- a/internal/router/selection/streamset.go
+++ b/internal/router/selection/streamset.go
@@ -34,9 +34,11 @@
 	// streamSetHomes is the share of homes of an instance in the set against that of another one: some reading does little harm.
 	streamSetHomes = 0.25
 	// streamGrowth is the room that streams have beyond the set, in instances, and streamRoom the least that they have, as a share of
-	// the backend's instances: as loads are told a second late, streams need more room while they become more.
+	// the backend's instances: as loads are told a second late, streams need more room while they become more. Nor have they less room
+	// than streamSpread instances, so that the end of one of them breaks a quarter of the streams and not all.
 	streamGrowth = 1.0
 	streamRoom   = 0.125
+	streamSpread = 4
 	// streamRatio is the time for an answer, in multiples of the time to read the prompt, from which on a request counts as a stream.
 	streamRatio = 10
 	// streamSetEvery is the pause between two looks at the loads.
@@ -155,7 +157,7 @@
 		return 0
 	}
 	instances := float64(len(b.targets))
-	space := max(b.streams.size+streamGrowth, streamRoom*instances)
+	space := max(b.streams.size+streamGrowth, streamRoom*instances, streamSpread)
 	return max(0, min(space, streamSetMost*instances-streamSetOut))
 }
 
--- a/internal/router/selection/streamset_test.go
+++ b/internal/router/selection/streamset_test.go
@@ -58,6 +58,19 @@
 	assert.Assert(t, math.Abs(b.streams.reading-0.24) < 0.05, "%v", b.streams.reading)
 }
 
+// TestFewStreamsHaveRoomOnSeveralInstances gives streams that one instance could hold.
+func TestFewStreamsHaveRoomOnSeveralInstances(t *testing.T) {
+	for _, c := range []struct {
+		instances int
+		space     float64
+	}{{16, streamSpread}, {40, 0.125 * 40}, {6, 2}, {2, 0}} { // of a few instances half, less one
+		b := setOf(loads(c.instances, 1, 1, 9)...)
+		b.settle()
+		assert.Assert(t, b.streams.size <= 1.4, "%v", b.streams.size)
+		assert.Equal(t, b.streamSpace(), c.space, "%d instances", c.instances)
+	}
+}
+
 func TestWithoutStreamsThereIsNoSet(t *testing.T) {
 	b := setOf(loads(48, 0, 2, 0)...)
 	b.settle()
