Size the stream set by what all routers know alike, not by their own estimates

Cause: in the model, routers of one fleet had sets of 0, 7 and 14 instances at one moment. The set gave way where the others would read more than six tenths of the time, and that share follows from the reading speed, which each router learns from its own requests: 77 to 286 tokens a ms for the same instances. A router without a set sends prompts where the others send streams. Change: that bound is gone. The estimate decides only whether the set is worth anything, which a factor of two changes little.

--- a/internal/router/selection/streamset.go
+++ b/internal/router/selection/streamset.go
@@ -27,10 +27,10 @@
 	streamSetMost = 0.5
 	streamSetOut  = 1
 	// The shares of the time for which prompts are read on the other instances: up to readingLeast pauses are rare and nothing need be
-	// kept apart, from readingFull on it is worth all that it costs, and beyond readingMost the others have no more to spare.
+	// kept apart, and from readingFull on it is worth all that it costs. The share is each router's own estimate, and may be wrong by a
+	// factor of two. So nothing else follows from it: routers that disagree on the size of the set mix what the others keep apart.
 	readingLeast = 0.1
 	readingFull  = 0.25
-	readingMost  = 0.6
 	// streamSetHomes is the share of homes of an instance in the set against that of another one: some reading does little harm.
 	streamSetHomes = 0.25
 	// streamGrowth is the room that streams have beyond the set, in instances, and streamRoom the least that they have, as a share of
@@ -80,7 +80,7 @@
 	b.streams.reading = min(1, reading/max(1, loads.instances-b.streams.size))
 	b.streams.worth = min(1, max(0, (b.streams.reading-readingLeast)/(readingFull-readingLeast)))
 	wanted := loads.streams() / max(1, streamFill*loads.meanSlots()) * (1 + streamSetSpare)
-	most := max(0, min(streamSetMost*loads.instances-streamSetOut, loads.instances-reading/readingMost))
+	most := max(0, streamSetMost*loads.instances-streamSetOut)
 	b.streams.size = min(most, max(wanted, min(b.streams.size, wanted+streamSetSlack)))
 }
 
