Remove the second home of a prefix, which is worth nothing

Cause: the instance that comes after a prefix's homes was presumed to keep a quarter of it. Change: an instance is a home or none. HomeShares goes; Options.NoHomes switches homes off for the lab. Two tests assert what a home keeps in place of the quarter.

--- a/internal/router/selection/expectation.go
+++ b/internal/router/selection/expectation.go
@@ -24,17 +24,19 @@
 }
 
 // missing estimates the prompt tokens that the instance would read for a request, and how many of them others have read of
-// late. The share by which it is presumed to keep the shared blocks lessens both.
+// late. A home is presumed to keep all shared blocks.
 func (t *target) missing(request *Request, modelHash uint64, expected *expectation) (total, again float64) {
 	kept := max(expected.common, t.cache.Kept(modelHash, request.Prefix))
 	sharedBlocks := prefixcache.Shared(request.Prefix)
-	missing := 1 - expected.homes.keeps(t)
 	from := min(kept, len(sharedBlocks))
-	shared := missing * float64(prefixcache.Tokens(sharedBlocks[from:]))
-	again = missing * float64(prefixcache.Tokens(sharedBlocks[from:max(from, expected.used)]))
+	if expected.homes.keeps(t) {
+		from = len(sharedBlocks)
+	}
+	shared := prefixcache.Tokens(sharedBlocks[from:])
+	waste := prefixcache.Tokens(sharedBlocks[from:max(from, expected.used)])
 	last := request.PromptTokens - prefixcache.Tokens(sharedBlocks)
 	if kept == len(request.Prefix) && kept > 0 {
 		last = request.PromptTokens - prefixcache.Tokens(request.Prefix)
 	}
-	return shared + float64(max(0, last)), again
+	return float64(shared + max(0, last)), float64(waste)
 }
--- a/internal/router/selection/home.go
+++ b/internal/router/selection/home.go
@@ -2,53 +2,33 @@
 
 import (
 	"math"
+	"slices"
 
 	"pewterrudder/internal/router/prefixcache"
 )
 
-// HomeShares are the shares of a prompt's shared blocks that an instance is presumed to keep, without any request from
-// here, because all routers send such prompts to it: a home at rest, and the one after the homes when they are loaded.
-type HomeShares struct {
-	First  float64
-	Second float64
-}
-
-// DefaultHomeShares are the ones in service.
-var DefaultHomeShares = HomeShares{First: 1, Second: 0.25}
-
 // home is an instance that all routers presume to keep a prompt's shared blocks.
 type home struct {
 	target *target
 	weight float64
 }
 
-// homes are the instances that all routers presume to keep a prompt's shared blocks, the first in rank first. The one
-// after the replicas stands in for them.
+// homes are the instances that all routers presume to keep a prompt's shared blocks, without any request from here, because all
+// routers send such prompts to them.
 type homes struct {
-	ranked   []home
-	replicas int
-	popular  int // homes that the prefix has because many ask for it; at least 1
-	shares   HomeShares
+	ranked  []home
+	popular int // homes that the prefix has because many ask for it; at least 1
 }
 
-func (h *homes) keeps(known *target) float64 {
-	for rank := range h.ranked {
-		if h.ranked[rank].target != known {
-			continue
-		}
-		if rank < h.replicas {
-			return h.shares.First
-		}
-		return h.shares.Second
-	}
-	return 0
+func (h *homes) keeps(known *target) bool {
+	return slices.ContainsFunc(h.ranked, func(home home) bool { return home.target == known })
 }
 
 // homesOf ranks the candidates for the request's last shared block. A prefix has one home, unless many ask for it or the routers
 // agreed on more.
 func (s *Selector) homesOf(c *choice, candidates []*target) homes {
 	key, ok := prefixcache.HomeKey(c.modelHash, c.request.Prefix)
-	if !ok {
+	if !ok || s.options.NoHomes {
 		return homes{}
 	}
 	popular := c.from.popular.homes(c.request.Now, key, len(candidates))
@@ -56,11 +36,11 @@
 	ranked := s.scratch.homes[:0]
 	for _, known := range candidates {
 		if known.isHome {
-			ranked = insertHome(ranked, replicas+1, home{target: known, weight: known.homeWeight(key)})
+			ranked = insertHome(ranked, replicas, home{target: known, weight: known.homeWeight(key)})
 		}
 	}
 	s.scratch.homes = ranked
-	return homes{ranked: ranked, replicas: replicas, popular: popular, shares: s.homeShares}
+	return homes{ranked: ranked, popular: popular}
 }
 
 // homeWeight ranks the instance as a home by weighted rendezvous hashing: its chance to be the first is in proportion to its share
--- a/internal/router/selection/selection.go
+++ b/internal/router/selection/selection.go
@@ -36,7 +36,7 @@
 	Window   time.Duration    // D
 	Widths   balance.Widths   // ths and thl
 	Weights  *balance.Weights // of the load figure
-	Homes    *HomeShares      // of shared blocks
+	NoHomes  bool             // no instance is presumed to keep shared blocks
 	Mixed    bool             // streams and prompts share all instances alike: there is no stream set
 	Detector Detector         // of bursts; nil: the one of internal/burst
 	Poll     PollFunc         // nil: no polling
@@ -73,11 +73,10 @@
 
 // Selector picks instances. Its methods may be called from any goroutine.
 type Selector struct {
-	options    Options
-	weights    balance.Weights
-	homeShares HomeShares
-	random     func() uint64
-	created    time.Time // rounds of polls are counted from here
+	options Options
+	weights balance.Weights
+	random  func() uint64
+	created time.Time // rounds of polls are counted from here
 
 	mutex       sync.Mutex
 	started     time.Time // of the first arrival; the detector's origin of time
@@ -120,27 +119,22 @@
 	if options.Weights != nil {
 		weights = *options.Weights
 	}
-	homeShares := DefaultHomeShares
-	if options.Homes != nil {
-		homeShares = *options.Homes
-	}
 	random := options.Random
 	if random == nil {
 		random = rand.NewPCG(rand.Uint64(), rand.Uint64()).Uint64
 	}
 	return &Selector{
-		options:    options,
-		weights:    weights,
-		homeShares: homeShares,
-		random:     random,
-		created:    options.Clock(),
-		backends:   map[string]*backend{},
-		byID:       map[string]*target{},
-		byHash:     map[uint64]*target{},
-		fleetUse:   newFleetUse(options.Sightings),
-		snapshot:   &instances.Snapshot{},
-		configs:    map[string]BackendConfig{},
-		commonUse:  map[string]*CommonUse{},
+		options:   options,
+		weights:   weights,
+		random:    random,
+		created:   options.Clock(),
+		backends:  map[string]*backend{},
+		byID:      map[string]*target{},
+		byHash:    map[uint64]*target{},
+		fleetUse:  newFleetUse(options.Sightings),
+		snapshot:  &instances.Snapshot{},
+		configs:   map[string]BackendConfig{},
+		commonUse: map[string]*CommonUse{},
 	}
 }
 
