End the console with its terminal, also where SIGHUP is ignored

Cause: TestAnEveningEndsTheSameHoweverItBreaksOff hung in its sessions whose line hangs up. Reproduced every time where the test runs under nohup: SIGHUP is ignored then, by the console too, and the end of its input alone told it that the terminal was gone, which the library of the screen passes over. Change: the input tells when it ends, and the console ends with it. The test's terminal takes the answers of its screen also once nobody reads them.

--- a/cmd/rudderctl/console.go
+++ b/cmd/rudderctl/console.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"os"
 
@@ -15,5 +16,23 @@
 	if !ok || !term.IsTerminal(out.Fd()) || !term.IsTerminal(s.in.Fd()) {
 		return &advised{errors.New("the console needs a terminal"), `"rudderctl watch" and "rudderctl nodes" do without`, misuse}
 	}
-	return console.Run(s.ctx, s.box, s.in, out, os.Environ())
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	return console.Run(ctx, s.box, &endingInput{File: s.in, ended: cancel}, out, os.Environ())
+}
+
+// endingInput is a terminal's input that tells when it ends. A terminal that goes away ends it, and that is all that a program notices
+// which was started with SIGHUP ignored, as nohup does.
+type endingInput struct {
+	*os.File
+	ended func()
+}
+
+// Read implements io.Reader.
+func (i *endingInput) Read(buffer []byte) (int, error) {
+	n, err := i.File.Read(buffer)
+	if err != nil {
+		i.ended()
+	}
+	return n, err
 }
--- a/cmd/rudderctl/rig_test.go
+++ b/cmd/rudderctl/rig_test.go
@@ -302,7 +302,10 @@
 	}
 	line.Close()
 	s.file = os.NewFile(uintptr(own), "line")
-	go io.Copy(s.file, s.glass) // what the terminal answers to questions
+	go func() {
+		io.Copy(s.file, s.glass)     // what the terminal answers to questions
+		io.Copy(io.Discard, s.glass) // with the far end closed nobody takes them, and the screen would wait for that
+	}()
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
