--- a/cmd/rudderctl/main_test.go
+++ b/cmd/rudderctl/main_test.go
@@ -150,7 +150,7 @@
 	r := newRig(t)
 	back := make(chan struct{})
 	r.mu.Lock()
-	r.keptOne = func() { r.dies(t, back) }
+	r.afterNextKeep = func() { r.dies(t, back) }
 	r.mu.Unlock()
 	out := r.ok(t, "drain", "n1")
 	<-back
@@ -159,7 +159,7 @@
 	}
 	// One that does not come back: the person is told that it is not known, and how to ask again.
 	r.mu.Lock()
-	r.keptOne = func() { r.life.Lock(); r.gone = true; r.service.Break(); r.life.Unlock() }
+	r.afterNextKeep = func() { r.life.Lock(); r.gone = true; r.service.Break(); r.life.Unlock() }
 	r.mu.Unlock()
 	r.no(t, unsure, []string{"it may have been made", "--id later"}, "drain", "n2", "--id", "later", "--wait", "300ms")
 }
--- a/cmd/rudderctl/rig_test.go
+++ b/cmd/rudderctl/rig_test.go
@@ -35,29 +35,29 @@
 	os.Exit(m.Run())
 }
 
-const longAgo = 30 * time.Second // bounds a wait that should not be one
-
-// yard is a box of six nodes in two pools that calls nobody, with the disk under it.
-type yard struct {
-	mu      sync.Mutex
-	kept    [][]byte
-	changes map[string]control.Change // in force, by node or pool
-	keptOne func()                    // once, between the disk's word and the answer
+const patience = 30 * time.Second // bounds a wait that should not be one
+
+// testBox is a box of six nodes in two pools that calls nobody, with the disk under it.
+type testBox struct {
+	mu            sync.Mutex
+	kept          [][]byte
+	changes       map[string]control.Change // in force, by node or pool
+	afterNextKeep func()                    // once, between the disk's word and the answer
 }
 
 var fleet = []struct{ node, pool string }{{"n1", "main"}, {"n2", "main"}, {"n3", "main"}, {"n4", "main"}, {"n5", "main"}, {"n6", "small"}}
 
-func (y *yard) Status() boxapi.Status {
-	return boxapi.Status{Name: "yard", Version: "test", Ready: true, Pools: 2, Nodes: len(fleet), Up: time.Hour}
+func (y *testBox) Status() boxapi.Status {
+	return boxapi.Status{Name: "testBox", Version: "test", Ready: true, Pools: 2, Nodes: len(fleet), Up: time.Hour}
 }
 
-func (y *yard) Pools() []boxapi.Pool {
+func (y *testBox) Pools() []boxapi.Pool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	return []boxapi.Pool{{Name: "main", Members: 5, Cap: y.changes["main"].Cap}, {Name: "small", Members: 1, Cap: y.changes["small"].Cap}}
 }
 
-func (y *yard) Nodes() (out []boxapi.Node) {
+func (y *testBox) Nodes() (out []boxapi.Node) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, f := range fleet {
@@ -72,7 +72,7 @@
 	return out
 }
 
-func (y *yard) Why(node string) (boxapi.Why, bool) {
+func (y *testBox) Why(node string) (boxapi.Why, bool) {
 	for _, n := range y.Nodes() {
 		if n.ID == node {
 			return boxapi.Why{Node: node, State: n.State, Works: n.State.Works(), Reasons: []boxapi.Reason{{Kind: string(n.State), Text: "that is so"}}}, true
@@ -81,17 +81,17 @@
 	return boxapi.Why{}, false
 }
 
-func (y *yard) Peers() boxapi.Peers {
+func (y *testBox) Peers() boxapi.Peers {
 	return boxapi.Peers{On: true, Own: boxapi.Peer{Name: "lab-0", Address: "127.0.0.1:7946", Live: true}, Crowd: 2, Believed: true,
 		Peers: []boxapi.Peer{{ID: "a", Name: "lab-1", Address: "127.0.0.2:7946", Live: true, For: time.Minute},
 			{ID: "b", Name: "lab-2", Address: "127.0.0.3:7946", For: 3 * time.Second}}}
 }
 
-func (y *yard) Roster() boxapi.Roster {
+func (y *testBox) Roster() boxapi.Roster {
 	return boxapi.Roster{Sources: []boxapi.Source{{Name: "discovery"}}, Entries: []boxapi.Entry{{ID: "n1"}}}
 }
 
-func (y *yard) Apply(all []control.Change) {
+func (y *testBox) Apply(all []control.Change) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, c := range all {
@@ -99,10 +99,10 @@
 	}
 }
 
-func (y *yard) Keep(revision uint64, b []byte) error {
+func (y *testBox) Keep(revision uint64, b []byte) error {
 	y.mu.Lock()
-	hook := y.keptOne
-	y.kept, y.keptOne = append(y.kept, b), nil
+	hook := y.afterNextKeep
+	y.kept, y.afterNextKeep = append(y.kept, b), nil
 	y.mu.Unlock()
 	if hook != nil {
 		hook()
@@ -110,9 +110,9 @@
 	return nil
 }
 
-// rig is a yard with its service, which can die and start anew.
+// rig is a testBox with its service, which can die and start anew.
 type rig struct {
-	*yard
+	*testBox
 	folder string
 	ask    *boxclient.Client
 
@@ -128,8 +128,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{yard: &yard{}, folder: folder}
-	r.ask = boxclient.New(filepath.Join(folder, boxapi.SocketName), longAgo)
+	r := &rig{testBox: &testBox{}, folder: folder}
+	r.ask = boxclient.New(filepath.Join(folder, boxapi.SocketName), patience)
 	if err := r.start(); err != nil {
 		t.Fatal(err)
 	}
@@ -167,7 +167,7 @@
 		return err
 	}
 	begin := time.Now()
-	r.service = boxd.New(boxd.Setup{Box: r.yard, State: state, Store: r.yard, Now: func() control.Now {
+	r.service = boxd.New(boxd.Setup{Box: r.testBox, State: state, Store: r.testBox, Now: func() control.Now {
 		return control.Now{Wall: time.Now(), Mono: time.Since(begin), Boot: begin.String()}
 	}})
 	service, served := r.service, make(chan struct{})
@@ -269,12 +269,12 @@
 	file *os.File
 	cmd  *exec.Cmd
 
-	mu    sync.Mutex
-	more  *sync.Cond
-	glass *vt.Emulator
-	raw   []byte
-	over  bool
-	ended chan struct{}
+	mu       sync.Mutex
+	changed  *sync.Cond
+	emulator *vt.Emulator
+	raw      []byte
+	over     bool
+	ended    chan struct{}
 }
 
 func (r *rig) terminal(t *testing.T, args ...string) *terminal {
@@ -285,8 +285,8 @@
 // newTerminal starts a command on a terminal.
 func newTerminal(t *testing.T, cmd *exec.Cmd) *terminal {
 	t.Helper()
-	s := &terminal{t: t, cmd: cmd, glass: vt.NewEmulator(80, 24), ended: make(chan struct{})}
-	s.more = sync.NewCond(&s.mu)
+	s := &terminal{t: t, cmd: cmd, emulator: vt.NewEmulator(80, 24), ended: make(chan struct{})}
+	s.changed = sync.NewCond(&s.mu)
 	line, err := pty.StartWithSize(s.cmd, &pty.Winsize{Rows: 24, Cols: 80})
 	if err != nil {
 		t.Fatal(err)
@@ -303,8 +303,8 @@
 	line.Close()
 	s.file = os.NewFile(uintptr(own), "line")
 	go func() {
-		io.Copy(s.file, s.glass)     // what the terminal answers to questions
-		io.Copy(io.Discard, s.glass) // with the far end closed nobody takes them, and the screen would wait for that
+		io.Copy(s.file, s.emulator)     // what the terminal answers to questions
+		io.Copy(io.Discard, s.emulator) // with the far end closed nobody takes them, and the screen would wait for that
 	}()
 	read := make(chan struct{})
 	go func() {
@@ -313,9 +313,9 @@
 		for {
 			n, err := s.file.Read(b)
 			s.mu.Lock()
-			s.glass.Write(b[:n])
+			s.emulator.Write(b[:n])
 			s.raw = append(s.raw, b[:n]...)
-			s.more.Broadcast()
+			s.changed.Broadcast()
 			s.mu.Unlock()
 			if err != nil {
 				return
@@ -327,7 +327,7 @@
 		s.cmd.Wait()
 		s.mu.Lock()
 		s.over = true
-		s.more.Broadcast()
+		s.changed.Broadcast()
 		s.mu.Unlock()
 		close(s.ended)
 	}()
@@ -339,18 +339,18 @@
 func (s *terminal) sees(text string) bool {
 	s.t.Helper()
 	late := false
-	wake := time.AfterFunc(longAgo, func() { s.mu.Lock(); late = true; s.more.Broadcast(); s.mu.Unlock() })
+	wake := time.AfterFunc(patience, func() { s.mu.Lock(); late = true; s.changed.Broadcast(); s.mu.Unlock() })
 	defer wake.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !strings.Contains(s.glass.String(), text) {
+	for !strings.Contains(s.emulator.String(), text) {
 		if s.over {
 			return false
 		}
 		if late {
-			s.t.Fatalf("%q never came; the screen:\n%s\nand all that was written:\n%q", text, s.glass.String(), s.raw)
+			s.t.Fatalf("%q never came; the screen:\n%s\nand all that was written:\n%q", text, s.emulator.String(), s.raw)
 		}
-		s.more.Wait()
+		s.changed.Wait()
 	}
 	return true
 }
@@ -366,7 +366,7 @@
 func (s *terminal) screen() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.glass.String()
+	return s.emulator.String()
 }
 
 func (s *terminal) types(keys string) { io.WriteString(s.file, keys) }
@@ -376,7 +376,7 @@
 	s.t.Helper()
 	select {
 	case <-s.ended:
-	case <-time.After(longAgo):
+	case <-time.After(patience):
 		s.t.Fatalf("it does not end; the screen:\n%s", s.screen())
 	}
 	return s.cmd.ProcessState.ExitCode()
@@ -396,7 +396,7 @@
 	select {
 	case <-s.ended:
 		return
-	case <-time.After(longAgo):
+	case <-time.After(patience):
 	}
 	var seen strings.Builder
 	for _, name := range []string{"status", "wchan", "syscall"} {
@@ -411,5 +411,5 @@
 // hangUp takes the line away: the program gets SIGHUP, and its reads end.
 func (s *terminal) hangUp() {
 	s.file.Close()
-	s.glass.Close()
+	s.emulator.Close()
 }
--- a/cmd/rudderctl/session_test.go
+++ b/cmd/rudderctl/session_test.go
@@ -11,7 +11,7 @@
 	"testing"
 )
 
-// The evening is a session of a shift on one terminal, some of it by commands and some on the full screen. Each step knows
+// shiftSteps are what a shift does on one terminal, some of it by commands and some on the full screen. Each step knows
 // by a look at the box whether it is done, as a person would who comes back after the line broke.
 type step struct {
 	name string
@@ -45,7 +45,7 @@
 	case "box dies": // at its next edit, between the disk's word and the answer; the session itself goes on
 		c.over = make(chan struct{})
 		c.rig.mu.Lock()
-		c.rig.keptOne = func() { c.rig.dies(t, c.over) }
+		c.rig.afterNextKeep = func() { c.rig.dies(t, c.over) }
 		c.rig.mu.Unlock()
 		return false
 	}
@@ -96,7 +96,7 @@
 
 var down = "j"
 
-func evening(file string) []step {
+func shiftSteps(file string) []step {
 	undone := func(t *testing.T, r *rig) bool { return r.wanted(t, "note shift", `note shift "n1 is back"`) }
 	return []step{
 		{"a drain by command", func(t *testing.T, r *rig) bool { return r.wanted(t, "drain n1", "drain n1") || undone(t, r) },
@@ -136,7 +136,7 @@
 	}
 }
 
-const afterwards = `cap main 100
+const stateAfterTheShift = `cap main 100
 drain n4
 drain n6
 note n2 "fan is loud"
@@ -153,12 +153,12 @@
 	t.Helper()
 	r := newRig(t)
 	c.rig = r
-	file := filepath.Join(t.TempDir(), "evening.json")
+	file := filepath.Join(t.TempDir(), "shift.json")
 	text := "{\n  // for the night\n  \"caps\": {\"main\": 100}, \"weights\": {\"n3\": 0.5},\n  \"notes\": {\"n2\": \"fan is loud\"},\n}\n"
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for _, s := range evening(file) {
+	for _, s := range shiftSteps(file) {
 		for tries := 0; !s.done(t, r); tries++ {
 			if tries == 4 {
 				t.Fatalf("%s: not done after %d tries; wanted:\n%s", s.name, tries, r.state(t))
@@ -166,7 +166,7 @@
 			s.do(t, r, c)
 			if c.over != nil { // the box may still be on its way back
 				r.mu.Lock()
-				waits := r.keptOne == nil
+				waits := r.afterNextKeep == nil
 				r.mu.Unlock()
 				if waits {
 					<-c.over
@@ -174,8 +174,8 @@
 			}
 		}
 	}
-	if got := r.state(t); got != afterwards {
-		t.Errorf("broken off at %d (%s), it ends with\n%swhere this is wanted\n%s", c.at, c.way, got, afterwards)
+	if got := r.state(t); got != stateAfterTheShift {
+		t.Errorf("broken off at %d (%s), it ends with\n%swhere this is wanted\n%s", c.at, c.way, got, stateAfterTheShift)
 	}
 	return c.now
 }
@@ -184,7 +184,7 @@
 var cutSeed = flag.Uint64("cut-seed", 1, "of the moments")
 
 // -cut-runs=200 has what the figures in docs are of.
-func TestAnEveningEndsTheSameHoweverItBreaksOff(t *testing.T) {
+func TestAShiftEndsTheSameHoweverItBreaksOff(t *testing.T) {
 	moments := play(t, &cut{at: -1})
 	if moments < 40 {
 		t.Fatalf("%d moments", moments)
--- a/cmd/rudderctl/terminal_test.go
+++ b/cmd/rudderctl/terminal_test.go
@@ -15,7 +15,7 @@
 	hungUp.hangUp()
 	select {
 	case <-hungUp.ended:
-	case <-time.After(longAgo):
+	case <-time.After(patience):
 		t.Fatal("the program still runs")
 	}
 }
