--- a/internal/router/node/configuration.go
+++ b/internal/router/node/configuration.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-
 	"pewterrudder/internal/router/casregister"
 	"pewterrudder/internal/router/configstore"
 	"pewterrudder/internal/router/document"
