--- a/internal/router/selection/streamset.go
+++ b/internal/router/selection/streamset.go
@@ -19,7 +19,7 @@
 	// streamFill is the share of an instance's slots that streams take in the set at rest.
 	streamFill = 0.7
 	// streamSetSpare is what the set has beyond that, as a share of it.
-	streamSetSpare = 0.1
+	streamSetSpare = 0.3
 	// streamSetSlack is by how many instances the set may be larger than it need be before it shrinks, since each change moves homes.
 	streamSetSlack = 1.5
 	// streamSetMost is the largest share of a backend's instances in the set, less streamSetOut instances: where there are few, one
