Let connections come up in tests whose app node opens its port late

Cause of the red run of TestNothingIsSentOnForAClientThatHasLeft: the balancer of these tests connects for 5 s. Where a busy machine opens the port later than that, the attempt to connect is over and no connection ever comes up, however long the test waits.

What the tests assert is as before. TestADrainOvertakesAConnection has the same wait and gets the same time.

--- a/cmd/pewterrudder/leaving_test.go
+++ b/cmd/pewterrudder/leaving_test.go
@@ -59,13 +59,23 @@
 // until waits for what another process or the kernel does.
 func until(t *testing.T, what string, so func() bool) {
 	t.Helper()
-	for end := time.Now().Add(longAgo); !so(); time.Sleep(2 * time.Millisecond) {
+	within(t, longAgo, what, so)
+}
+
+// within does so for a bound of its own.
+func within(t *testing.T, bound time.Duration, what string, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(bound); !so(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("never: %s", what)
 		}
 	}
 }
 
+// doorPatience is the connect timeout of a balancer before a door, and the bound on a wait for its connection. With the usual
+// 5 s the attempt to connect is over where a busy machine opens the door later than that, and no connection ever comes up.
+const doorPatience = 40 * time.Second
+
 // door is an app node to which no connection comes up until it is opened.
 type door struct {
 	t      *testing.T
@@ -158,7 +168,7 @@
 // let waits until the balancer's connection has come up. It may end at once, where the call that it was made for is over.
 func (d *door) let() {
 	d.t.Helper()
-	until(d.t, "the connection has come up", func() bool {
+	within(d.t, doorPatience, "the connection has come up", func() bool {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		return d.came > 1 // the filler is one
@@ -272,14 +282,14 @@
 var waits = map[string]func(t *testing.T, body string) (l *leaver, goOn func(), sent func(id string) bool){
 	"for a connection": func(t *testing.T, body string) (*leaver, func(), func(string) bool) {
 		d := newDoor(t)
-		l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes = []string{d.addr} })}
+		l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes, setup.ConnectTimeout = []string{d.addr}, doorPatience })}
 		l.ask("gone", "bulk", "", body)
 		d.knocked()
 		return l, func() { d.open(); d.let() }, d.got
 	},
 	"for a connection of a process that stands still": func(t *testing.T, body string) (*leaver, func(), func(string) bool) {
 		d := newDoor(t)
-		l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes = []string{d.addr} })}
+		l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes, setup.ConnectTimeout = []string{d.addr}, doorPatience })}
 		l.ask("gone", "bulk", "", body)
 		d.knocked()
 		goOn := l.stop()
@@ -346,7 +356,9 @@
 func further(t *testing.T, body string) (*leaver, *door) {
 	t.Helper()
 	d := newDoor(t)
-	l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) { setup.Nodes, setup.Attempts = append(setup.Nodes, d.addr), 2 })}
+	l := &leaver{stand: newStand(t, func(setup *flowrig.Setup) {
+		setup.Nodes, setup.Attempts, setup.ConnectTimeout = append(setup.Nodes, d.addr), 2, doorPatience
+	})}
 	for n := 0; ; n++ { // until one goes to the stand's own first, and has the budget for another; others wait at the door for good
 		id, failed := "gone-"+strconv.Itoa(n), make(chan struct{})
 		l.play(id, func(x *flowrig.Exchange) {
--- a/internal/lab/flowrig/balancer.go
+++ b/internal/lab/flowrig/balancer.go
@@ -32,9 +32,14 @@
 	Copies   bool   // second copies are allowed
 	Settings string // the operators' settings file; empty: none
 
+	ConnectTimeout time.Duration // of connections to app nodes; zero: DefaultConnectTimeout
+
 	Discovery string // its address; empty: nowhere, so that the known list is all
 }
 
+// DefaultConnectTimeout is how long a balancer's attempt to connect lasts where a Setup says nothing.
+const DefaultConnectTimeout = 5 * time.Second
+
 // Bulk is a class for measurements: long enough for any of them.
 var Bulk = Class{Name: "bulk", Semantics: "safe", Deadline: 2 * time.Minute}
 
@@ -50,6 +55,10 @@
 		classes = append(classes, object{"name": c.Name, "semantics": c.Semantics, "window_ms": 60000,
 			"aim_ms": c.Deadline.Milliseconds() / 2, "deadline_ms": c.Deadline.Milliseconds(), "importance": 1})
 	}
+	connectTimeout := s.ConnectTimeout
+	if connectTimeout == 0 {
+		connectTimeout = DefaultConnectTimeout
+	}
 	discovery := s.Discovery
 	if discovery == "" {
 		discovery = "127.0.0.1:1"
@@ -59,7 +68,7 @@
 		"known":  object{"revision": 1, "complete": true, "members": members},
 		"settings": object{"balancers": 1, "zone": "a", "discovery": "ask", "weights": "off", "categories": classes,
 			"limits": object{"cancel": true, "second_copies": s.Copies, "max_attempts": s.Attempts,
-				"connect_timeout_ms": 5000, "idle_close_ms": 60000, "retry_after": true, "max_retry_after_ms": 500},
+				"connect_timeout_ms": connectTimeout.Milliseconds(), "idle_close_ms": 60000, "retry_after": true, "max_retry_after_ms": 500},
 			"rules": object{"ask_every_ms": 10000},
 			"stats": object{"how": "inline", "columns": []string{"utilization", "backlog"}}}}, "", " ")
 	return string(text)
