Count leases by a clock that sees suspensions, and relay a coordinator's messages round cuts

A machine that is suspended has a monotonic clock that stands still, so that a key lease or the coordinator's lease outlived its end. steadyclock compares it with CLOCK_BOOTTIME every 20 ms of running time at the most; the margins of both leases are several times that. TestCoordinatorThatSleptHoldsNothing fails with the monotonic clock alone.

What it says to the others, and they to it, goes by way of a third router now once the direct way is silent for 120 ms.

--- a/internal/lab/fleet/fellows_test.go
+++ b/internal/lab/fleet/fellows_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -203,6 +205,64 @@
 	}
 }
 
+// metAt is the time from which on each of the balancers believes that all others are here, until the given one; infinite if one
+// does not.
+func (s seen) metAt(balancers int, until float64) (met float64) {
+	since := map[[2]int]float64{}
+	for _, w := range s.Beliefs {
+		pair := [2]int{w.Balancer, w.Of}
+		if _, here := since[pair]; w.At >= until || w.Of < 0 || here == w.Here {
+			continue
+		}
+		if w.Here {
+			since[pair] = w.At
+		} else {
+			delete(since, pair)
+		}
+	}
+	if len(since) < balancers*(balancers-1) {
+		return math.Inf(1)
+	}
+	return slices.Max(slices.Collect(maps.Values(since)))
+}
+
+// The time that subsets take to follow a change of the crowd, and that over which a test looks at them, in seconds.
+const (
+	subsetSettles = 1
+	subsetWindow  = 4
+)
+
+// Balancers have met once the last of them believes in the last other, and no more once one loses another.
+func TestMetAt(t *testing.T) {
+	all := func(more ...Belief) seen {
+		words := []Belief{{At: 8, Balancer: 1, Of: -1, Here: true, Crowd: 4}}
+		for b := range 3 {
+			for o := range 3 {
+				if b != o {
+					words = append(words, Belief{At: float64(2*b + o), Balancer: b, Of: o, Here: true})
+				}
+			}
+		}
+		return seen{Done: &Done{Beliefs: append(words, more...)}}
+	}
+	lost := Belief{At: 6, Balancer: 2, Of: 0}
+	for _, c := range []struct {
+		name string
+		seen seen
+		want float64
+	}{
+		{"the last one", all(), 5},
+		{"one loses another", all(lost), math.Inf(1)},
+		{"one loses another and finds it again", all(lost, Belief{At: 7, Balancer: 2, Of: 0, Here: true}), 7},
+		{"later losses do not count", all(Belief{At: 9, Balancer: 2, Of: 0}), 5},
+		{"nobody says anything", seen{Done: &Done{}}, math.Inf(1)},
+	} {
+		if got := c.seen.metAt(3, 9); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
 // Five processes over thirty app nodes use a subset of twelve each, and let go of what they do not use; two are killed for good, and
 // the three that are left take over their part. Without subsets nobody speaks of any.
 func TestSubsetsOfProcessesAddUp(t *testing.T) {
@@ -229,8 +289,15 @@
 		return held, by
 	}
 	t.Run("with", func(t *testing.T) {
-		s := day(t, "12", "21s", `{"kind": "balancer_crash", "at": "9s", "for": "60s", "balancers": [1, 3]}`)
-		before, by := held(s, 5, 9)
+		const killed, end = 15, 27 // seconds of the day
+		s := day(t, "12", fmt.Sprint(end, "s"), fmt.Sprintf(`{"kind": "balancer_crash", "at": "%ds", "for": "60s", "balancers": [1, 3]}`, killed))
+		met := s.metAt(5, killed)
+		if met > killed-subsetSettles-subsetWindow {
+			t.Fatalf("all know each other at %.2f s: %+v", met, s.Beliefs)
+		}
+		from := max(5, met+subsetSettles)
+		t.Logf("all know each other at %.2f s", met)
+		before, by := held(s, from, from+subsetWindow)
 		for b, n := range before {
 			if n > 20 { // twelve on average
 				t.Errorf("balancer %d sent to %d app nodes: %v", b, n, before)
@@ -239,7 +306,7 @@
 		if slices.Min(by) == 0 || slices.Max(by) > 4 { // two are due each, and somebody may want another
 			t.Errorf("balancers at each app node: %v; their words: %q; the log: %s", by, s.Words, s.log)
 		}
-		after, by := held(s, 17, 21)
+		after, by := held(s, end-subsetWindow, end)
 		if after[1]+after[3] > 0 || slices.Min(by) == 0 {
 			t.Errorf("when two are gone: %v by balancer, %v by app node", after, by)
 		}
--- a/internal/router/node/keylease.go
+++ b/internal/router/node/keylease.go
@@ -7,6 +7,7 @@
 
 	"pewterrudder/internal/router/configlease"
 	"pewterrudder/internal/router/settings"
+	"pewterrudder/internal/router/steadyclock"
 )
 
 const (
@@ -23,7 +24,7 @@
 // nothing reads for itself.
 type keyLease struct {
 	lease     *configlease.Lease
-	started   time.Time
+	clock     *steadyclock.Clock
 	read      func(ctx context.Context) (revision uint64, err error)
 	leads     func() bool // this router is the coordinator
 	isNeeded  func() bool // the configuration has keys
@@ -37,7 +38,7 @@
 	}
 	n.keys = &keyLease{
 		lease:    configlease.New(settings.Milliseconds(s.Bounds.RevokeMs)),
-		started:  n.started,
+		clock:    n.clock,
 		read:     n.store.Confirm,
 		leads:    func() bool { return n.shares.Holds() },
 		isNeeded: n.hasTenants,
@@ -56,12 +57,9 @@
 	if n.keys == nil {
 		return nil
 	}
-	return func() bool { return n.keys.lease.Holds(n.keys.now()) }
+	return func() bool { return n.keys.lease.Holds(n.clock.Now()) }
 }
 
-// now is the steady time since the start.
-func (k *keyLease) now() time.Duration { return time.Since(k.started) }
-
 // apply notes that a revision is in force. The receiver may be nil, as below.
 func (k *keyLease) apply(revision uint64) {
 	if k != nil {
@@ -70,18 +68,18 @@
 }
 
 // confirmed notes that a read that began at the given time has found a revision.
-func (k *keyLease) confirmed(askedAt time.Time, revision uint64) {
+func (k *keyLease) confirmed(askedAt time.Duration, revision uint64) {
 	if k != nil {
 		k.Take(askedAt, configlease.Confirmation{Revision: revision})
 	}
 }
 
 // Tell implements shares.Confirmations.
-func (k *keyLease) Tell() (configlease.Confirmation, bool) { return k.lease.Tell(k.now()) }
+func (k *keyLease) Tell() (configlease.Confirmation, bool) { return k.lease.Tell(k.clock.Now()) }
 
 // Take implements shares.Confirmations.
-func (k *keyLease) Take(askedAt time.Time, told configlease.Confirmation) {
-	k.lease.Confirm(askedAt.Sub(k.started), told)
+func (k *keyLease) Take(askedAt time.Duration, told configlease.Confirmation) {
+	k.lease.Confirm(askedAt, told)
 }
 
 // run reads the register whenever that is due.
@@ -100,7 +98,7 @@
 	if k.leads() {
 		return true
 	}
-	age, known := k.lease.Age(k.now())
+	age, known := k.lease.Age(k.clock.Now())
 	alone := time.Duration(confirmAloneShare * float64(k.lease.Duration()))
 	if known && age < alone || time.Now().Before(k.nextAlone) {
 		return false
@@ -113,7 +111,7 @@
 func (k *keyLease) confirm(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	askedAt := time.Now()
+	askedAt := k.clock.Now()
 	if revision, err := k.read(ctx); err == nil {
 		k.confirmed(askedAt, revision)
 	}
--- a/internal/router/node/keylease_test.go
+++ b/internal/router/node/keylease_test.go
@@ -6,13 +6,16 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"pewterrudder/internal/router/configlease"
 	"pewterrudder/internal/router/protocol"
 	"pewterrudder/internal/router/resultcode"
 	"pewterrudder/internal/router/settings"
+	"pewterrudder/internal/router/steadyclock"
 )
 
 // keysConfiguration has one key for good, and another one or none.
@@ -49,6 +52,30 @@
 	return answer.Status
 }
 
+// TestASuspendedMachineHasNoKeyLease suspends a machine for the time of its key lease: the lease does not hold when it wakes up, and
+// holds again after the next confirmation.
+func TestASuspendedMachineHasNoKeyLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		begin := time.Now()
+		clock := steadyclock.NewWithSource(func() (time.Duration, bool) { return time.Since(begin) + suspended, true })
+		keys := &keyLease{lease: configlease.New(5 * time.Second), clock: clock}
+		n := &Node{keys: keys, clock: clock}
+		holds := n.keysHold()
+		keys.apply(7)
+		keys.confirmed(clock.Now(), 7)
+		time.Sleep(time.Second)
+		assert.Assert(t, holds())
+		suspended = keys.lease.Duration()
+		time.Sleep(steadyclock.SampleEvery)
+		assert.Assert(t, !holds())
+		_, told := keys.Tell()
+		assert.Assert(t, !told)
+		keys.confirmed(clock.Now(), 7)
+		assert.Assert(t, holds())
+	})
+}
+
 // TestAKeyThatWasTakenAwayEndsAtARouterThatIsCutOff cuts a router off, takes a key away, and asks that router until well after the
 // bound. It lets nobody with a key in then, and goes on without keys. After the cut it knows.
 func TestAKeyThatWasTakenAwayEndsAtARouterThatIsCutOff(t *testing.T) {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -31,6 +31,7 @@
 	"pewterrudder/internal/router/settings"
 	"pewterrudder/internal/router/shares"
 	"pewterrudder/internal/router/softstate"
+	"pewterrudder/internal/router/steadyclock"
 	"pewterrudder/internal/router/transport"
 )
 
@@ -73,6 +74,7 @@
 	readiness readiness
 	servers   []*http.Server
 	started   time.Time
+	clock     *steadyclock.Clock // counts what must end in time
 	cancel    context.CancelFunc
 	// background counts the goroutines that Stop waits for.
 	background sync.WaitGroup
@@ -117,7 +119,7 @@
 
 // Start brings a router up. It serves when Start returns, and is ready as soon as it knows enough.
 func Start(s *settings.Settings, log logrus.FieldLogger, options ...Option) (*Node, error) {
-	n := &Node{log: log, started: time.Now()}
+	n := &Node{log: log, started: time.Now(), clock: steadyclock.New()}
 	for _, option := range options {
 		option(n)
 	}
--- a/internal/router/node/readiness.go
+++ b/internal/router/node/readiness.go
@@ -97,7 +97,7 @@
 func (n *Node) readFresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, freshReadTimeout)
 	defer cancel()
-	askedAt := time.Now()
+	askedAt := n.clock.Now()
 	state, err := n.store.Read(ctx)
 	if err != nil {
 		return false
--- a/internal/router/node/shares.go
+++ b/internal/router/node/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"pewterrudder/internal/router/document"
@@ -24,9 +25,11 @@
 		Bounds:          s.Bounds,
 		Caller:          caller{n.transport, messageShares},
 		Log:             n.log,
+		Clock:           n.clock,
 		Grantors:        n.grantors,
 		GrantorsKnown:   settled.isKnown,
 		GrantorsSettled: settled.isSettled,
+		Relays:          n.relays,
 		Routers:         n.fleetSize,
 		MayCoordinate:   s.ServesTo(settings.ServesControl),
 	}
@@ -46,6 +49,23 @@
 	return nil
 }
 
+// relays are the live routers that are not acceptors: these may be cut off from each other where the rest of the fleet reaches all of
+// them. A fleet of acceptors alone has no other relays than these.
+func (n *Node) relays() []string {
+	voters, _ := n.grantors()
+	var others, all []string
+	for _, member := range n.view().Live() {
+		all = append(all, member.Address)
+		if !slices.Contains(voters, member.Address) {
+			others = append(others, member.Address)
+		}
+	}
+	if len(others) == 0 {
+		return all
+	}
+	return others
+}
+
 // fleetSize counts the other routers. Before all can have been met, it is what a router remembers from before its start.
 func (n *Node) fleetSize() shares.FleetSize {
 	view := n.view()
--- a/internal/router/shares/exchangeloop.go
+++ b/internal/router/shares/exchangeloop.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	report := s.makeReport()
-	askedAt := time.Now()
+	askedAt := s.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := s.call(callCtx, address, request{Exchange: &report})
--- a/internal/router/shares/fleet_test.go
+++ b/internal/router/shares/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"pewterrudder/internal/router/quota"
 	"pewterrudder/internal/router/settings"
+	"pewterrudder/internal/router/steadyclock"
 )
 
 const (
@@ -44,6 +45,8 @@
 	// voters are the grantors in force; changed tells whether others were in force before.
 	voters  []string
 	changed bool
+	// relays are the routers that may pass messages on.
+	relays []string
 	// half is 1 or -1 for routers of two halves that don't reach each other, 0 for those that reach both.
 	half map[string]int
 }
@@ -54,8 +57,21 @@
 	shares  *Shares
 	stop    context.CancelFunc
 	stopped chan struct{}
+	// suspended is the time for which the router's machine was suspended, in nanoseconds.
+	suspended atomic.Int64
 }
 
+// suspend has the router's second clock go on for a while in which everything else of its machine stands still.
+func (r *router) suspend(span time.Duration) { r.suspended.Add(int64(span)) }
+
+// bootTime is the router's second clock.
+func (r *router) bootTime() (time.Duration, bool) {
+	return time.Duration(time.Now().UnixNano() + r.suspended.Load()), true
+}
+
+// holds tells whether the router takes itself for the coordinator.
+func (r *router) holds() bool { return r.shares.Holds() }
+
 func newFleet(voters int) *fleet {
 	f := &fleet{routers: map[string]*router{}, cut: map[string]bool{}, alone: map[string]bool{}}
 	for i := range voters {
@@ -80,9 +96,11 @@
 		Bounds:          testBounds,
 		Caller:          &caller{fleet: f, from: address},
 		Log:             log,
+		Clock:           steadyclock.NewWithSource(r.bootTime),
 		Grantors:        f.grantors,
 		GrantorsKnown:   func() bool { return true },
 		GrantorsSettled: f.grantorsSettled,
+		Relays:          f.getRelays,
 		Routers:         func() FleetSize { return f.size(address) },
 		MayCoordinate:   true,
 	})
@@ -103,6 +121,21 @@
 	return slices.Clone(f.voters), nil
 }
 
+func (f *fleet) getRelays() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.relays)
+}
+
+// relayBy has all routers but the grantors pass messages on.
+func (f *fleet) relayBy() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for i := len(f.voters); i < testRouters; i++ {
+		f.relays = append(f.relays, address(i))
+	}
+}
+
 func (f *fleet) grantorsSettled() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/router/shares/handle.go
+++ b/internal/router/shares/handle.go
@@ -12,11 +12,19 @@
 var errNoPart = errors.New("request without a known part")
 
 // HandleRequest answers a message of another router.
-func (s *Shares) HandleRequest(_ context.Context, data []byte) ([]byte, error) {
+func (s *Shares) HandleRequest(ctx context.Context, data []byte) ([]byte, error) {
 	message, err := decodeRequest(data)
 	if err != nil {
 		return nil, err
 	}
+	if message.Relay != nil {
+		return s.passOn(ctx, *message.Relay)
+	}
+	return s.respond(message)
+}
+
+// respond answers a message that is meant for this router.
+func (s *Shares) respond(message request) ([]byte, error) {
 	reply, err := s.handle(message)
 	if err != nil {
 		return nil, err
@@ -69,9 +77,9 @@
 	if err != nil {
 		return response{}, err
 	}
-	reply, err := s.options.Caller.Call(ctx, address, data)
+	reply, err := s.deliver(ctx, address, data)
 	if err != nil {
-		return response{}, errors.Wrapf(err, "call of %s", address)
+		return response{}, err
 	}
 	return decodeResponse(reply)
 }
--- a/internal/router/shares/message.go
+++ b/internal/router/shares/message.go
@@ -19,6 +19,7 @@
 	Lease    *lease.Request `msgpack:"lease,omitempty"`
 	Exchange *exchange      `msgpack:"exchange,omitempty"`
 	Lookup   bool           `msgpack:"find_coordinator,omitempty"`
+	Relay    *relayed       `msgpack:"relay,omitempty"`
 }
 
 // exchange is a router's report to the coordinator.
--- a/internal/router/shares/shares.go
+++ b/internal/router/shares/shares.go
@@ -19,6 +19,7 @@
 	"pewterrudder/internal/router/quota"
 	"pewterrudder/internal/router/retrybudget"
 	"pewterrudder/internal/router/settings"
+	"pewterrudder/internal/router/steadyclock"
 )
 
 const (
@@ -41,12 +42,16 @@
 	Bounds  settings.Bounds
 	Caller  Caller
 	Log     logrus.FieldLogger
+	// Clock counts the lease and all that is lent out; nil: the monotonic clock of the runtime.
+	Clock *steadyclock.Clock
 	// Grantors returns the addresses of the acceptors in force, and during a joint change also those before it.
 	Grantors func() (voters, previous []string)
 	// GrantorsKnown tells whether this process has heard of no acceptors but those in force, also by its disk.
 	GrantorsKnown func() bool
 	// GrantorsSettled tells whether the acceptors have been at their addresses for so long that no lease rests on earlier ones.
 	GrantorsSettled func() bool
+	// Relays returns the addresses of live routers that may pass a message on where the direct way is silent; nil: none.
+	Relays func() []string
 	// Routers describes the fleet as far as this router has met it.
 	Routers func() FleetSize
 	// Confirmations carries along how new the configuration is; nil: nobody asks.
@@ -61,8 +66,8 @@
 type Confirmations interface {
 	// Tell is what this router tells as the coordinator; false: nothing.
 	Tell() (configlease.Confirmation, bool)
-	// Take takes what the coordinator told in answer to a call that began at the given time.
-	Take(askedAt time.Time, told configlease.Confirmation)
+	// Take takes what the coordinator told in answer to a call that began at the given time of the clock.
+	Take(askedAt time.Duration, told configlease.Confirmation)
 }
 
 // FleetSize is the number of routers, as one of them sees it.
@@ -77,10 +82,12 @@
 // Shares is one router's part in the division.
 type Shares struct {
 	options Options
-	started time.Time
-	local   local
-	role    role
-	wake    chan struct{}
+	clock   *steadyclock.Clock
+	// startedAt is when the shares were made, by the clock. All their times count from then.
+	startedAt time.Duration
+	local     local
+	role      role
+	wake      chan struct{}
 	// heard says that a coordinator has answered since the start.
 	heard atomic.Bool
 	// leaseWake calls the lease loop before its time.
@@ -104,10 +111,14 @@
 // New returns the shares of a router that has just started. It asks for the grantors and for the number of routers.
 func New(options Options) *Shares {
 	incarnation := rand.Uint64()
+	if options.Clock == nil {
+		options.Clock = steadyclock.Monotonic()
+	}
 	config := lease.Config{Duration: leaseDuration, Drift: leaseDrift}
 	s := &Shares{
 		options:   options,
-		started:   time.Now(),
+		clock:     options.Clock,
+		startedAt: options.Clock.Now(),
 		wake:      make(chan struct{}, 1),
 		leaseWake: make(chan struct{}, 1),
 		floorWake: make(chan struct{}, 1),
@@ -194,10 +205,11 @@
 	s.role.setLimits(s.now(), limits)
 }
 
-// now is the time since the start, by the monotonic clock.
-func (s *Shares) now() time.Duration { return time.Since(s.started) }
+// now is the time since the start.
+func (s *Shares) now() time.Duration { return s.clock.Now() - s.startedAt }
 
-func (s *Shares) since(now time.Time) time.Duration { return now.Sub(s.started) }
+// since is that at a moment which was read lately.
+func (s *Shares) since(moment time.Time) time.Duration { return s.clock.At(moment) - s.startedAt }
 
 func (s *Shares) wakeIf(urgent bool) {
 	if !urgent {
--- a/internal/router/shares/shares_test.go
+++ b/internal/router/shares/shares_test.go
@@ -11,6 +11,7 @@
 
 	"pewterrudder/internal/router/lease"
 	"pewterrudder/internal/router/quota"
+	"pewterrudder/internal/router/steadyclock"
 )
 
 // settle is by when a fleet has a coordinator after its start.
@@ -91,6 +92,34 @@
 	})
 }
 
+// TestCoordinatorThatSleptHoldsNothing suspends the coordinator's machine for a lease. Its monotonic clock has stood still meanwhile, and
+// it is no coordinator any more when it wakes up.
+func TestCoordinatorThatSleptHoldsNothing(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(settle)
+		first := f.coordinator(t)
+		first.suspend(leaseDuration)
+		time.Sleep(steadyclock.SampleEvery)
+		assert.Assert(t, !first.holds())
+	})
+}
+
+// TestSleepCostsNoMoreThanItsTime suspends each machine in turn. The fleet has a coordinator soon, and a calm tenant is served.
+func TestSleepCostsNoMoreThanItsTime(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(settle)
+		for _, r := range f.all() {
+			r.suspend(time.Minute)
+			time.Sleep(2 * leaseDuration)
+			assert.Assert(t, f.coordinator(t) != nil, "after the sleep of %s", r.address)
+		}
+		const span = 8 * time.Second
+		asked := 0.5 * testLimit.PerSecond
+		share := f.load(asked, span) / (asked * span.Seconds())
+		assert.Assert(t, share >= 0.99, "admitted %.3f", share)
+	})
+}
+
 // TestCoordinatorInHalves cuts six acceptors into two halves, each of the ten ways. The routers that reach both have a coordinator soon.
 func TestCoordinatorInHalves(t *testing.T) {
 	const acceptors = 6
--- /dev/null
+++ b/internal/router/steadyclock/boottime.go
@@ -0,0 +1,16 @@
+package steadyclock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readBootTime reads the kernel's clock that goes on while the machine is suspended.
+func readBootTime() (time.Duration, bool) {
+	var reading unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
+		return 0, false
+	}
+	return time.Duration(reading.Nano()), true
+}
--- a/internal/router/transport/errors.go
+++ b/internal/router/transport/errors.go
@@ -8,6 +8,8 @@
 	ErrClosed = errors.New("transport closed")
 	// ErrUnreachable means that no connection came about: the message was not sent.
 	ErrUnreachable = errors.New("peer unreachable")
+	// ErrRefused is ErrUnreachable where the machine has answered and nobody listens there: the process has ended.
+	ErrRefused = errors.Wrap(ErrUnreachable, "connection refused")
 	// ErrBroken means that the connection ended before the answer: the message may have been handled.
 	ErrBroken = errors.New("connection broken")
 	// ErrStalled means that the peer was silent for too long: the message may have been handled.
--- a/internal/router/transport/peer.go
+++ b/internal/router/transport/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,7 +65,7 @@
 	waiting := p.waiting
 	p.dial, p.waiting, p.waitingSize = nil, nil, 0
 	if err != nil {
-		attempt.err = errors.Wrap(ErrUnreachable, err.Error())
+		attempt.err = dialError(err)
 		p.quietUntil = p.transport.now() + int64(redialAfter)
 		return
 	}
@@ -120,3 +121,11 @@
 func newDialer() *net.Dialer {
 	return &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 }
+
+// dialError tells a machine that is out of reach from one where nobody listens.
+func dialError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.WithStack(ErrRefused)
+	}
+	return errors.Wrap(ErrUnreachable, err.Error())
+}
