Let a site take routers out of service that are cut off for long

Need: a router that no quorum of the acceptors answered went on serving for ever, and a site had no choice. With isolation.not_ready_after_s it tells the platform that it is not ready once that time is over, and that it is ready with the first answer; what clients send is served all the same.

Tests: the guard in virtual time, with a register that is silent and one that fails; two routers of five processes that are cut off, one of them with the limit.

--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -138,6 +138,7 @@
 		n.joinCluster,
 		n.startFront,
 		n.startControl,
+		n.startIsolationGuard,
 		n.startReadiness,
 		n.startSummary,
 	}
--- a/internal/router/node/readiness.go
+++ b/internal/router/node/readiness.go
@@ -28,6 +28,8 @@
 type readiness struct {
 	ready    atomic.Bool
 	draining atomic.Bool
+	// isolated says that no quorum has answered for too long; nil: that is no reason.
+	isolated func() bool
 	// started is closed when the router is ready for the first time.
 	started chan struct{}
 	// awaiting says what a starting router waits for.
@@ -40,7 +42,7 @@
 		resultcode.Write(w, resultcode.New(resultcode.ShuttingDown, ""))
 		return
 	}
-	if !r.ready.Load() {
+	if !r.isReady() {
 		resultcode.Write(w, resultcode.New(resultcode.NotReady, ""))
 		return
 	}
--- a/internal/router/settings/relations.go
+++ b/internal/router/settings/relations.go
@@ -33,6 +33,9 @@
 // portRangeItems is the length of port_range: its first and its last port.
 const portRangeItems = 2
 
+// isolationLeastS is the time below which a router would count as cut off for a single lost packet.
+const isolationLeastS = 1.0
+
 // findOddities lists what may be meant so but seldom is.
 func findOddities(s *Settings) []Finding {
 	var warnings []Finding
@@ -52,6 +55,9 @@
 	if needed := 2*s.Tolerate.Machines + 1; s.Bootstrap && len(s.Seeds) < needed {
 		add("seeds", fmt.Sprintf("lists %d; losing tolerate.machines at once takes %d acceptors", len(s.Seeds), needed))
 	}
+	if limit := s.Isolation.NotReadyAfterS; limit > 0 && limit < isolationLeastS {
+		add("isolation.not_ready_after_s", fmt.Sprintf("%v is so short that a lost packet makes the router not ready", limit))
+	}
 	if _, known := s.Zones[s.Zone]; len(s.Zones) > 0 && !known {
 		add("zone", fmt.Sprintf("%q is not in the table zones", s.Zone))
 	}
--- a/internal/router/settings/settings.go
+++ b/internal/router/settings/settings.go
@@ -37,6 +37,8 @@
 	Limits          Limits            `toml:"limits"`
 	Tolerate        Tolerate          `toml:"tolerate"`
 	Bounds          Bounds            `toml:"bounds"`
+	// Isolation says what a router does that is cut off from the acceptors.
+	Isolation Isolation `toml:"isolation"`
 	// CommonPrefixes switches the fleet's agreement on common prompt prefixes on.
 	CommonPrefixes bool `toml:"common_prefixes"`
 
@@ -60,6 +62,12 @@
 	DiskMB   int     `toml:"disk_mb" validate:"min=0"`
 }
 
+// Isolation is what a site chooses for routers that no quorum of the acceptors answers.
+type Isolation struct {
+	// NotReadyAfterS is the time after which such a router tells the platform that it is not ready; 0: it stays ready.
+	NotReadyAfterS float64 `toml:"not_ready_after_s" validate:"min=0"`
+}
+
 // Tolerate says what may be lost at once.
 type Tolerate struct {
 	Machines int `toml:"machines" validate:"min=0"`
