Write the newest orders for earlier releases, and fence releases that must not act

Cause: a fleet that was rolled back to a release before orders had bases forgot them, so that an order which came again could be refused there. The identities of the newest 32 orders are written as that release reads them (512 bytes a state), and what it takes is known after the way back: its orders by their identity, others below its generation as forgotten.

A release that adds what others must not pass over writes needs_format from now on, and one that doesn't know it refuses the state. Releases before this one can't be taught that: they are covered by the line above.

--- a/internal/router/configstore/orders.go
+++ b/internal/router/configstore/orders.go
@@ -89,15 +89,31 @@
 	return orders, nil
 }
 
-// takeEarlierChanges reads the identities that an earlier release kept, without their bases. Of an order that is not among them nothing
-// is known if its base lies below the present generation.
+// keptChanges is how many identities are written for earlier releases, to which the fleet may be rolled back: several times what the
+// operator has under way at once.
+const keptChanges = 32
+
+// encodeChanges returns the identities of the newest orders, as earlier releases read them.
+func encodeChanges(orders []Order) []byte {
+	newest := orders[max(0, len(orders)-keptChanges):]
+	encoded := make([]byte, 0, len(newest)*len(ChangeID{}))
+	for _, order := range newest {
+		encoded = append(encoded, order.ID[:]...)
+	}
+	return encoded
+}
+
+// takeEarlierChanges adds the orders that earlier releases took: identities without their bases, which this release hasn't written. Of an
+// order that is not remembered nothing is known then if its base lies below the present generation.
 func (state *State) takeEarlierChanges(encoded []byte) {
 	for chunk := range slices.Chunk(encoded, len(ChangeID{})) {
 		order := Order{Base: unknownBase}
 		copy(order.ID[:], chunk)
-		state.Orders = append(state.Orders, order)
+		if !state.HasChange(order.ID) {
+			state.Orders = append(state.Orders, order)
+			state.ForgottenBelow = state.Generation
+		}
 	}
-	state.ForgottenBelow = state.Generation
 }
 
 // unknownBase stands for the base of an order that an earlier release took.
--- a/internal/router/configstore/state.go
+++ b/internal/router/configstore/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -33,11 +34,24 @@
 	fieldGeneration = "generation"
 	fieldOrders     = "orders"
 	fieldForgotten  = "forgotten_below"
-	// fieldChanges holds the identities alone; earlier releases wrote it.
+	// fieldChanges holds the identities of the newest orders alone: earlier releases know orders by that.
 	fieldChanges  = "changes"
 	fieldPrefixes = "prefixes"
+	// fieldNeeds is the format that a release must know to act on the state; left out, any release may.
+	fieldNeeds = "needs_format"
 )
 
+// format is the newest format of a state that this release knows. A release that adds a field which others must not pass over raises it
+// and writes fieldNeeds, so that the fleet can't be rolled back behind it by mistake.
+const format = 1
+
+// NewerFormatError says that a state was written by a release that this one must not act for.
+type NewerFormatError struct{ Needs int }
+
+func (e NewerFormatError) Error() string {
+	return fmt.Sprintf("configstore: the state needs a release that knows format %d, and this one knows %d", e.Needs, format)
+}
+
 // WithChange is the state after an order on top of it: the new document, its generation, and the order's identity. The revision is
 // given by the store.
 func (state State) WithChange(document []byte, generation int64, change ChangeID) State {
@@ -85,6 +99,7 @@
 		fieldGeneration: state.Generation,
 		fieldOrders:     encodeOrders(state.Orders),
 		fieldForgotten:  state.ForgottenBelow,
+		fieldChanges:    encodeChanges(state.Orders),
 	}
 	if len(state.Prefixes) > 0 {
 		fields[fieldPrefixes] = state.Prefixes
@@ -115,6 +130,9 @@
 	if err := msgpack.Unmarshal(payload, &fields); err != nil {
 		return State{}, err
 	}
+	if err := checkFormat(fields); err != nil {
+		return State{}, err
+	}
 	state := State{}
 	for name, raw := range fields {
 		if err := state.decodeField(name, raw); err != nil {
@@ -124,10 +142,26 @@
 	return state, state.decodeEarlier(fields)
 }
 
-// decodeEarlier reads what only earlier releases wrote.
+// checkFormat refuses a state that needs a newer release.
+func checkFormat(fields map[string]msgpack.RawMessage) error {
+	raw, isSet := fields[fieldNeeds]
+	if !isSet {
+		return nil
+	}
+	needs := 0
+	if err := msgpack.Unmarshal(raw, &needs); err != nil {
+		return err
+	}
+	if needs > format {
+		return NewerFormatError{Needs: needs}
+	}
+	return nil
+}
+
+// decodeEarlier reads the orders that earlier releases took.
 func (state *State) decodeEarlier(fields map[string]msgpack.RawMessage) error {
-	raw, isEarlier := fields[fieldChanges]
-	if !isEarlier {
+	raw, isSet := fields[fieldChanges]
+	if !isSet {
 		return nil
 	}
 	var joined []byte
@@ -150,8 +184,8 @@
 		return state.decodeOrders(raw)
 	case fieldForgotten:
 		return msgpack.Unmarshal(raw, &state.ForgottenBelow)
-	case fieldChanges:
-		return nil // decodeEarlier reads it
+	case fieldChanges, fieldNeeds:
+		return nil // read by themselves
 	case fieldPrefixes:
 		return msgpack.Unmarshal(raw, &state.Prefixes)
 	default:
--- a/internal/router/configstore/state_test.go
+++ b/internal/router/configstore/state_test.go
@@ -1,6 +1,8 @@
 package configstore
 
 import (
+	"bytes"
+	"slices"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -88,3 +90,67 @@
 	}
 	assert.Equal(t, state.Find(8, ChangeID{4}), OrderForgotten, "what was forgotten stays so")
 }
+
+// earlierRelease takes an order as the release before orders had bases did: it knows identities alone, and keeps what it doesn't know.
+func earlierRelease(t *testing.T, payload []byte, generation int64, id ChangeID) (next []byte, knew bool) {
+	t.Helper()
+	var fields map[string]msgpack.RawMessage
+	assert.NilError(t, msgpack.Unmarshal(payload, &fields))
+	var changes []byte
+	assert.NilError(t, msgpack.Unmarshal(fields[fieldChanges], &changes))
+	for chunk := range slices.Chunk(changes, len(id)) {
+		knew = knew || bytes.Equal(chunk, id[:])
+	}
+	set := func(name string, value any) {
+		raw, err := msgpack.Marshal(value)
+		assert.NilError(t, err)
+		fields[name] = raw
+	}
+	set(fieldChanges, append(changes, id[:]...))
+	set(fieldGeneration, generation)
+	next, err := msgpack.Marshal(fields)
+	assert.NilError(t, err)
+	return next, knew
+}
+
+// TestRollbackForgetsNoOrder rolls the fleet back to an earlier release and forward again. Each release knows the newest orders of the
+// other, and refuses none of them.
+func TestRollbackForgetsNoOrder(t *testing.T) {
+	state := State{}
+	for number := range keptOrders {
+		state = state.WithChange([]byte("document"), int64(10+number), ChangeID{1, byte(number)})
+	}
+	payload, err := encodeState(state)
+	assert.NilError(t, err)
+	for number := keptOrders - keptChanges; number < keptOrders; number++ {
+		_, knew := earlierRelease(t, payload, 0, ChangeID{1, byte(number)})
+		assert.Assert(t, knew, "the earlier release doesn't know order %d", number)
+	}
+	base := state.Generation
+	for number := range 5 {
+		payload, _ = earlierRelease(t, payload, base+1+int64(number), ChangeID{2, byte(number)})
+	}
+	state, err = decodeState(payload)
+	assert.NilError(t, err)
+	for number := range 5 {
+		assert.Equal(t, state.Find(base+int64(number), ChangeID{2, byte(number)}), OrderTaken)
+	}
+	for number := range keptOrders {
+		assert.Equal(t, state.Find(int64(9+number), ChangeID{1, byte(number)}), OrderTaken, "order %d", number)
+	}
+	assert.Equal(t, state.Find(base+2, ChangeID{3}), OrderForgotten, "the earlier release may have taken more than it remembers")
+	assert.Equal(t, state.Find(state.Generation, ChangeID{3}), OrderUnknown)
+}
+
+// TestStateOfANewerFormatIsRefused: a release must not act on what it doesn't understand.
+func TestStateOfANewerFormatIsRefused(t *testing.T) {
+	payload := func(needs int) []byte {
+		encoded, err := msgpack.Marshal(map[string]any{fieldRevision: 4, fieldGeneration: 9, fieldNeeds: needs})
+		assert.NilError(t, err)
+		return encoded
+	}
+	_, err := decodeState(payload(format))
+	assert.NilError(t, err)
+	_, err = decodeState(payload(format + 1))
+	assert.DeepEqual(t, err, NewerFormatError{Needs: format + 1})
+}
