--- a/internal/router/command/inspect_test.go
+++ b/internal/router/command/inspect_test.go
@@ -20,6 +20,8 @@
 		Register: status.Register{Epoch: 4, Replica: status.ReplicaOpen,
 			Voters:   []status.Acceptor{{ID: "a", Address: "10.0.0.1:7100", Live: true}, {ID: "b", Address: "10.0.0.2:7100"}},
 			Previous: []status.Acceptor{{ID: "c", Address: "10.0.0.3:7100", Live: true}}},
+		Shares: status.Shares{Coordinator: "10.0.0.1:7100", Term: 9, SilentS: 0.24, Tenants: []status.TenantShare{
+			{Tenant: "kaje80", PerS: 5000, Balance: 120, StandingPerS: 16.7, AtLimit: true}, {Tenant: "lomu3", PerS: 90, Balance: -4}}},
 		Members:   status.MemberCount{Live: 2, Failed: 1},
 		Instances: status.InstanceCount{Ready: 5, Draining: 1},
 		Requests: status.Requests{Succeeded: 100, ClientErrors: 4, ServerErrors: 3, Broken: 1, Gone: 2, NeverSent: 6, Rejected: 7,
@@ -52,6 +54,19 @@
 	assert.Assert(t, strings.Contains(r.out, "no: starting"), r.out)
 }
 
+// TestWhoDividesTheQuotas is told for each case that a router may be in.
+func TestWhoDividesTheQuotas(t *testing.T) {
+	for wanted, shares := range map[string]status.Shares{
+		"NO COORDINATOR KNOWN":                       {SilentS: -1},
+		"divided here, term 3":                       {Coordinator: "10.0.0.1:7100", Leads: true, Term: 3},
+		"divided by 10.0.0.1:7100, not heard yet":    {Coordinator: "10.0.0.1:7100", SilentS: -1},
+		"divided by 10.0.0.1:7100, term 3, heard 2.": {Coordinator: "10.0.0.1:7100", Term: 3, SilentS: 2},
+	} {
+		text := describeShares(&shares)
+		assert.Assert(t, strings.HasPrefix(text, wanted), text)
+	}
+}
+
 func TestMembersForPeople(t *testing.T) {
 	members := []status.Member{
 		{Node: "edge-alder-1", Status: "alive", Zone: "alder", Region: "north", Control: "10.0.0.1:8105", Address: "10.0.0.1:7100", Acceptor: "a"},
--- a/internal/router/command/print.go
+++ b/internal/router/command/print.go
@@ -28,6 +28,7 @@
 	row("ready", "%s", describeReadiness(s))
 	row("configuration", "generation %d, revision %d", s.Configuration.Generation, s.Configuration.Revision)
 	row("register", "%s", describeRegister(&s.Register))
+	row("shares", "%s", describeShares(&s.Shares))
 	row("members", "%d live, %d failed", s.Members.Live, s.Members.Failed)
 	row("instances", "%d ready, %d draining", s.Instances.Ready, s.Instances.Draining)
 	row("answers", "%d succeeded, %d 4xx, %d 5xx, %d broken off, %d clients gone", s.Requests.Succeeded, s.Requests.ClientErrors,
@@ -35,6 +36,9 @@
 	row("attempts", "%d never sent, %d rejected, %d may have run", s.Requests.NeverSent, s.Requests.Rejected, s.Requests.MayHaveRun)
 	row("held", "%d connections of clients, %d bytes of bodies", s.Requests.Connections, s.Requests.BodyBytes)
 	row("memory", "%s", describeMemory(s.Memory))
+	for _, share := range s.Shares.Tenants {
+		row("tenant", "%s", describeTenant(share))
+	}
 	for _, code := range s.Codes {
 		row("result", "%d %s: %d", code.Code, code.Name, code.Count)
 	}
@@ -65,6 +69,27 @@
 	return text + "; own replica: " + string(r.Replica)
 }
 
+func describeShares(s *status.Shares) string {
+	switch {
+	case s.Leads:
+		return fmt.Sprintf("divided here, term %d", s.Term)
+	case s.Coordinator == "":
+		return "NO COORDINATOR KNOWN"
+	case s.SilentS < 0:
+		return "divided by " + s.Coordinator + ", not heard yet"
+	default:
+		return fmt.Sprintf("divided by %s, term %d, heard %.1f s ago", s.Coordinator, s.Term, s.SilentS)
+	}
+}
+
+func describeTenant(share status.TenantShare) string {
+	text := fmt.Sprintf("%s: %.0f of its quota here, %.1f a second by itself, limit %.0f a second", share.Tenant, share.Balance, share.StandingPerS, share.PerS)
+	if share.AtLimit {
+		text += ", AT ITS LIMIT"
+	}
+	return text
+}
+
 func describeQuorum(quorum bool) string {
 	if quorum {
 		return "quorum"
--- a/internal/router/configstore/acceptor.go
+++ b/internal/router/configstore/acceptor.go
@@ -44,6 +44,10 @@
 	saved *disk.Disk
 	// durable is the record as last synced, for readers. Nil until the record was read.
 	durable atomic.Pointer[casregister.Record]
+	// writingSince is when the write under way began, in nanoseconds of the Unix clock; zero: there is none. refused says that the last
+	// one failed.
+	writingSince atomic.Int64
+	refused      atomic.Bool
 	// onOpened is called from the goroutine with the record as read, onAccepted after a state was accepted and synced.
 	onOpened   func(casregister.Record)
 	onAccepted func()
@@ -177,7 +181,9 @@
 func (acceptor *acceptor) sync() error {
 	record := acceptor.machine.Pending()
 	hasAccepted := record.Accepted.Ballot != acceptor.machine.Durable().Accepted.Ballot
-	if err := acceptor.save(record); err != nil {
+	err := acceptor.save(record)
+	acceptor.refused.Store(err != nil)
+	if err != nil {
 		acceptor.machine.Discard()
 		acceptor.log.WithError(err).Warn("acceptor cannot save its record")
 		return err
@@ -195,5 +201,16 @@
 	if acceptor.saved == nil {
 		return nil
 	}
+	acceptor.writingSince.Store(time.Now().UnixNano())
+	defer acceptor.writingSince.Store(0)
 	return saveRecord(acceptor.saved, record)
 }
+
+// writeUnderWay is how long the write under way has taken so far, zero if there is none.
+func (acceptor *acceptor) writeUnderWay() time.Duration {
+	since := acceptor.writingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, since))
+}
--- a/internal/router/configstore/store.go
+++ b/internal/router/configstore/store.go
@@ -123,6 +123,19 @@
 	return durable.ID
 }
 
+// WriteUnderWay is how long the acceptor's disk has taken so far for a write that it has not answered, zero if there is none.
+func (store *Store) WriteUnderWay() time.Duration {
+	if store.acceptor == nil {
+		return 0
+	}
+	return store.acceptor.writeUnderWay()
+}
+
+// RefusesWrites says whether the acceptor's disk refused the last write.
+func (store *Store) RefusesWrites() bool {
+	return store.acceptor != nil && store.acceptor.refused.Load()
+}
+
 // Current is the newest state that this process knows to be chosen, nil while it knows none. Before the first
 // configuration it has revision zero and no document.
 func (store *Store) Current() *Chosen { return store.current.Load() }
--- a/internal/router/node/inspect.go
+++ b/internal/router/node/inspect.go
@@ -31,6 +31,7 @@
 		Reason:        n.readiness.reason(),
 		Configuration: n.describeConfiguration(),
 		Register:      n.describeRegister(view),
+		Shares:        n.describeShares(),
 		Members:       status.MemberCount{Live: len(view.Live()), Failed: len(view.Failed())},
 		Instances:     countInstances(n.registry.Registrations()),
 		Requests:      countRequests(&figures),
@@ -90,6 +91,37 @@
 	return register
 }
 
+// stalledAfter is how long a write may take before the disk counts as stalled.
+const stalledAfter = time.Second
+
+// tenantsShown bounds the tenants in a status.
+const tenantsShown = 20
+
+// describeShares says who divides the quotas, and what this router has of them.
+func (n *Node) describeShares() status.Shares {
+	standing := n.shares.Standing(tenantsShown)
+	described := status.Shares{
+		Coordinator: standing.Coordinator,
+		Leads:       standing.Leads,
+		Term:        standing.Term,
+		SilentS:     -1,
+		Tenants:     make([]status.TenantShare, len(standing.Tenants)),
+	}
+	if standing.Heard {
+		described.SilentS = standing.Silence.Seconds()
+	}
+	for index, tenant := range standing.Tenants {
+		described.Tenants[index] = status.TenantShare{
+			Tenant:       tenant.Tenant,
+			PerS:         tenant.Limit.PerSecond,
+			Balance:      tenant.Balance,
+			StandingPerS: tenant.Standing,
+			AtLimit:      tenant.Scarce,
+		}
+	}
+	return described
+}
+
 // describeReplica says how the router's own replica is.
 func (n *Node) describeReplica() status.Replica {
 	switch {
@@ -97,6 +129,10 @@
 		return status.ReplicaNone
 	case n.store.Identity() == "":
 		return status.ReplicaOpening
+	case n.store.WriteUnderWay() > stalledAfter:
+		return status.ReplicaStalled
+	case n.store.RefusesWrites():
+		return status.ReplicaRefusing
 	default:
 		return status.ReplicaOpen
 	}
--- a/internal/router/shares/relay.go
+++ b/internal/router/shares/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,9 @@
 	defer cancel()
 	d := delivery{shares: s, address: address, body: body, outcomes: make(chan outcome, 1+relayAttempts)}
 	d.send(ctx, address, body)
+	if s.detours.needs(address) {
+		d.relay(ctx)
+	}
 	return d.await(ctx)
 }
 
@@ -58,15 +62,42 @@
 
 // outcome is what came of one copy of the message.
 type outcome struct {
-	reply []byte
-	err   error
+	isDirect bool
+	reply    []byte
+	err      error
+}
+
+// detours remembers the routers that have answered by way of others alone: what is sent to them next is relayed at once, until one
+// answers directly again.
+type detours struct {
+	mutex sync.Mutex
+	known map[string]bool
+}
+
+func (d *detours) needs(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.known[address]
+}
+
+func (d *detours) note(address string, isDirect bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if isDirect {
+		delete(d.known, address)
+		return
+	}
+	if d.known == nil {
+		d.known = map[string]bool{}
+	}
+	d.known[address] = true
 }
 
 func (d *delivery) send(ctx context.Context, address string, body []byte) {
 	d.pending++
 	go func() {
 		reply, err := d.shares.options.Caller.Call(ctx, address, body)
-		d.outcomes <- outcome{reply, err}
+		d.outcomes <- outcome{address == d.address, reply, err}
 	}()
 }
 
@@ -79,7 +110,8 @@
 		select {
 		case result := <-d.outcomes:
 			d.pending--
-			if result.err == nil || isAnswered(result.err) && !d.begun {
+			if result.err == nil || isAnswered(result.err) && result.isDirect {
+				d.shares.detours.note(d.address, result.isDirect)
 				return result.reply, result.err
 			}
 			failure = result.err
--- a/internal/router/shares/relay_test.go
+++ b/internal/router/shares/relay_test.go
@@ -145,6 +145,43 @@
 	}
 }
 
+// TestDetourIsTakenAtOnceUntilTheDirectWayIsBack sends to a router that answers by way of another alone, and directly again later.
+func TestDetourIsTakenAtOnceUntilTheDirectWayIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		isCut, relayed := true, 0
+		s := alone(func(ctx context.Context, to string, _ []byte) ([]byte, error) {
+			if to == testTarget && isCut {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			if to == testTarget {
+				return []byte("direct"), nil
+			}
+			relayed++
+			return []byte("relayed"), wait(ctx, testDelay)
+		})
+		send := func() (reply string, took time.Duration) {
+			begin := time.Now()
+			data, err := s.deliver(t.Context(), testTarget, nil)
+			assert.NilError(t, err)
+			synctest.Wait()
+			return string(data), time.Since(begin)
+		}
+		_, took := send()
+		assert.Equal(t, took, relayAfter+testDelay)
+		reply, took := send()
+		assert.Equal(t, reply, "relayed")
+		assert.Equal(t, took, testDelay)
+		isCut = false
+		reply, _ = send()
+		assert.Equal(t, reply, "direct")
+		before := relayed
+		reply, _ = send()
+		assert.Equal(t, reply, "direct")
+		assert.Equal(t, relayed, before, "the detour is not needed any more")
+	})
+}
+
 // TestDeliveryEndsWithItsContext waits no longer than it is told where nobody answers.
 func TestDeliveryEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/shares/shares.go
+++ b/internal/router/shares/shares.go
@@ -94,6 +94,8 @@
 	leaseWake chan struct{}
 	// floorWake has a floor table written.
 	floorWake chan struct{}
+	// detours are the routers that are reached by way of others.
+	detours detours
 	// calls are the calls of grantors under way.
 	calls sync.WaitGroup
 	// known is the coordinator's address as last heard, guarded by knownMutex.
--- a/internal/router/status/status.go
+++ b/internal/router/status/status.go
@@ -13,6 +13,7 @@
 	Reason        string        `json:"reason,omitempty"`
 	Configuration Configuration `json:"configuration"`
 	Register      Register      `json:"register"`
+	Shares        Shares        `json:"shares"`
 	Members       MemberCount   `json:"members"`
 	Instances     InstanceCount `json:"instances"`
 	Requests      Requests      `json:"requests"`
@@ -50,8 +51,39 @@
 	ReplicaNone    Replica = "none"    // the router holds none
 	ReplicaOpening Replica = "opening" // its disk has not answered yet
 	ReplicaOpen    Replica = "open"
+	// ReplicaStalled means that its disk has not answered a write for over a second.
+	ReplicaStalled Replica = "stalled"
+	// ReplicaRefusing means that its disk refused the last write.
+	ReplicaRefusing Replica = "refusing"
 )
 
+// Shares says who divides the quotas and the retry budget among the routers, and what this router has of them.
+type Shares struct {
+	// Coordinator is the transport address of the router that divides them, as last heard; empty: none is known.
+	Coordinator string `json:"coordinator"`
+	// Leads says that this router is the coordinator.
+	Leads bool `json:"leads"`
+	// Term is the coordinator's lease term as last heard.
+	Term uint64 `json:"term"`
+	// SilentS is the time since the coordinator's last answer, in seconds; negative: there was none since the start.
+	SilentS float64 `json:"silent_s"`
+	// Tenants are those with the most requests here, at most 20.
+	Tenants []TenantShare `json:"tenants"`
+}
+
+// TenantShare is what a router has of a tenant's quota, in requests or tokens, as the quota is.
+type TenantShare struct {
+	Tenant string `json:"tenant"`
+	// PerS is the tenant's limit a second over the whole fleet.
+	PerS float64 `json:"per_s"`
+	// Balance may still be admitted without asking; negative after an overdraft.
+	Balance float64 `json:"balance"`
+	// StandingPerS is the rate with which the router supplies itself while it hears nothing.
+	StandingPerS float64 `json:"standing_per_s"`
+	// AtLimit says that the tenant uses its whole limit.
+	AtLimit bool `json:"at_limit"`
+}
+
 // Acceptor is a router that holds a replica of the register.
 type Acceptor struct {
 	ID      string `json:"id"`
