--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -24,7 +24,7 @@
 }
 
 // all measures, in the page's order.
-var all = []group{{"list", measureList}, {"reducer", measureReducer}, {"settings", measureSettings}, {"together", measureTogether}, {"catalog", measureCatalog},
+var all = []group{{"list", measureList}, {"settings", measureSettings}, {"catalog", measureCatalog},
 	{"calls", measureCalls}, {"subset", measureSubset}, {"discovery", measureDiscovery}, {"source", measureSource}, {"peers", measurePeers}}
 
 // Measure runs the measures that a role stands on. One that fails says so on the page, in its slopes' place.
