--- a/internal/router/command/command.go
+++ b/internal/router/command/command.go
@@ -17,7 +17,7 @@
 
 // Names lists the commands that this package serves.
 func Names() []string {
-	return []string{"router", "status", "members", "instances", "version", "config", "explain", "help"}
+	return []string{"router", "status", "members", "instances", "version", "config", "snapshot", "restore", "explain", "help"}
 }
 
 // Main runs a command of the router fleet and returns the status of the process.
@@ -30,6 +30,7 @@
 	addRouter(app, known)
 	addInspection(app, known)
 	addConfiguration(app, known)
+	addSnapshots(app, known)
 	addExplain(app, known)
 	name, err := app.Parse(arguments)
 	if err != nil {
--- /dev/null
+++ b/internal/router/command/snapshot_test.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSnapshotIsPrinted(t *testing.T) {
+	router := newStandIn(t, http.StatusOK, `{"format":1}`)
+	r := runCommand("snapshot", "--control", router.address)
+	assert.Equal(t, r.status, exitDone, r.errors)
+	assert.Equal(t, r.out, `{"format":1}`+"\n")
+	assert.DeepEqual(t, router.received(), []received{{method: http.MethodGet, path: "/v1/register/snapshot"}}, exported)
+}
+
+func TestSnapshotIsSent(t *testing.T) {
+	router := newStandIn(t, http.StatusOK, "")
+	r := runCommand("restore", "--control", router.address, writeFile(t, "snapshot"))
+	assert.Equal(t, r.status, exitDone, r.errors)
+	assert.Equal(t, r.out, "acknowledged\n")
+	assert.DeepEqual(t, router.received(), []received{{method: http.MethodPost, path: "/v1/register/restore", body: "snapshot"}}, exported)
+}
+
+func TestRefusedSnapshotIsExplained(t *testing.T) {
+	router := newStandIn(t, http.StatusConflict, `{"error":"snapshot_outdated","code":2019,"detail":"revision 8 is in force"}`)
+	r := runCommand("restore", "--control", router.address, writeFile(t, "snapshot"))
+	assert.Assert(t, r.status != exitDone)
+	assert.Assert(t, strings.Contains(r.errors, "2019 snapshot_outdated (status 409): revision 8 is in force"), r.errors)
+	assert.Equal(t, len(router.received()), 1, "a refusal holds for all routers")
+}
--- a/internal/router/configstore/state.go
+++ b/internal/router/configstore/state.go
@@ -78,12 +78,12 @@
 		bytes.Equal(state.Prefixes, other.Prefixes)
 }
 
-// follow numbers a state that was changed from base.
+// follow numbers a state that was changed from base. One that was restored keeps its own revision, which is higher.
 func follow(base, next State) State {
 	if next.isSame(base) {
 		return base
 	}
-	next.Revision = base.Revision + 1
+	next.Revision = max(base.Revision+1, next.Revision)
 	return next
 }
 
--- a/internal/router/controlapi/body.go
+++ b/internal/router/controlapi/body.go
@@ -18,6 +18,7 @@
 
 var (
 	configurationBody = bodyRules{maxConfigurationBytes, resultcode.ConfigurationTooLarge, resultcode.ConfigurationUnreadable}
+	snapshotBody      = bodyRules{2 * maxConfigurationBytes, resultcode.ConfigurationTooLarge, resultcode.SnapshotDamaged}
 	heartbeatBody     = bodyRules{maxHeartbeatBytes, resultcode.CallTooLarge, resultcode.HeartbeatUnreadable}
 )
 
--- a/internal/router/controlapi/controlapi.go
+++ b/internal/router/controlapi/controlapi.go
@@ -74,6 +74,8 @@
 	router.HandleFunc(protocol.PathConfigPut, a.put).Methods(http.MethodPost)
 	router.HandleFunc(protocol.PathConfigEdit, a.patch).Methods(http.MethodPost)
 	router.HandleFunc(protocol.PathConfigGet, a.get).Methods(http.MethodGet)
+	router.HandleFunc(protocol.PathSnapshot, a.snapshot).Methods(http.MethodGet)
+	router.HandleFunc(protocol.PathRestore, a.restore).Methods(http.MethodPost)
 	a.addPrefixes(router)
 	a.routeInspection(router)
 	router.NotFoundHandler = http.HandlerFunc(noSuchCall)
--- a/internal/router/protocol/protocol.go
+++ b/internal/router/protocol/protocol.go
@@ -34,6 +34,8 @@
 	PathConfigPut  = "/v1/config/put"
 	PathConfigEdit = "/v1/config/patch"
 	PathConfigGet  = "/v1/config/get"
+	PathSnapshot   = "/v1/register/snapshot"
+	PathRestore    = "/v1/register/restore"
 	PathReport     = "/v1/report"
 	PathStatus     = "/v1/status"
 	PathMembers    = "/v1/members"
--- a/internal/router/resultcode/codes.go
+++ b/internal/router/resultcode/codes.go
@@ -47,6 +47,8 @@
 	NoConfiguration         Code = 2015
 	RegisterUnavailable     Code = 2016
 	OrderForgotten          Code = 2017
+	SnapshotDamaged         Code = 2018
+	SnapshotOutdated        Code = 2019
 )
 
 // Calls of model instances.
--- a/internal/router/resultcode/table.go
+++ b/internal/router/resultcode/table.go
@@ -82,6 +82,8 @@
 	Entry{OutcomeUnclear, "outcome_unclear", http.StatusServiceUnavailable, "The change was proposed and may or may not take effect; send it again unchanged."},
 	Entry{NoConfiguration, "no_configuration", http.StatusServiceUnavailable, "The router knows of no configuration yet."},
 	Entry{RegisterUnavailable, "register_unavailable", http.StatusServiceUnavailable, "Too few acceptors of the configuration register answered."},
+	Entry{SnapshotDamaged, "snapshot_damaged", http.StatusBadRequest, "The file is no snapshot, is not as it was written, or needs a newer release."},
+	Entry{SnapshotOutdated, "snapshot_outdated", http.StatusConflict, "The register is ahead of the snapshot, or holds something else under its revision."},
 	Entry{OrderForgotten, "order_forgotten", http.StatusServiceUnavailable, "Orders on this base are remembered no longer; the change was taken or it was not. Read the configuration."},
 
 	Entry{HeartbeatUnreadable, "heartbeat_unreadable", http.StatusBadRequest, "The body of the heartbeat is not a whole JSON document of the expected types."},
--- a/internal/router/shares/leaseloop.go
+++ b/internal/router/shares/leaseloop.go
@@ -25,8 +25,10 @@
 // runLease competes for the lease and renews it.
 func (s *Shares) runLease(ctx context.Context) {
 	var wasHeld bool
+	var suspended time.Duration
 	for {
 		pause := s.stepLease(ctx)
+		suspended = s.logSuspension(suspended)
 		wasHeld = s.logChange(wasHeld)
 		if !s.pauseLease(ctx, pause) {
 			s.resign(ctx)
@@ -136,6 +138,19 @@
 	s.calls.Wait()
 }
 
+// loggedSuspension is the least suspension of the machine that is logged.
+const loggedSuspension = 100 * time.Millisecond
+
+// logSuspension logs that the machine was suspended since the sum given, and returns the sum logged.
+func (s *Shares) logSuspension(before time.Duration) time.Duration {
+	now := s.clock.Suspended()
+	if now-before < loggedSuspension {
+		return before
+	}
+	s.options.Log.WithField("seconds", (now - before).Seconds()).Warn("the machine was suspended: leases have run out meanwhile")
+	return now
+}
+
 func (s *Shares) logChange(wasHeld bool) bool {
 	s.role.Lock()
 	term, held := s.role.candidate.Held(s.now())
