Let the test of promises among troubles run as long and as wide as is asked for

720 requests at one router as before; FRONT_TROUBLED_REQUESTS and FRONT_TROUBLED_ROUTERS ask for more, by hand, with the same assertions in proportion. Stand-ins of this test keep no requests, of which there may be a million.

--- a/internal/router/front/chaos_test.go
+++ b/internal/router/front/chaos_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,27 @@
 	"pewterrudder/internal/router/selection"
 )
 
+const (
+	// troubledRequests is how many requests TestPromisesAmongTroubles makes at a router. The variable asks for another number, for a long
+	// run by hand, and troubledRouters for that many routers which share the instances.
+	troubledRequests         = 720
+	troubledRequestsVariable = "FRONT_TROUBLED_REQUESTS"
+	troubledRoutersVariable  = "FRONT_TROUBLED_ROUTERS"
+	// troubledClients is how many clients ask one router at once.
+	troubledClients = 12
+)
+
+// numberFrom is the value of an environment variable, or the other number where there is none.
+func numberFrom(t *testing.T, variable string, otherwise int) int {
+	text := os.Getenv(variable)
+	if text == "" {
+		return otherwise
+	}
+	number, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	return number
+}
+
 // runLog counts how often each request has run.
 type runLog struct {
 	mutex sync.Mutex
@@ -102,19 +124,32 @@
 	log := &runLog{runs: map[string]int{}}
 	var all []*standIn
 	for i := range 5 {
-		all = append(all, newStandIn(t, "i-"+strconv.Itoa(i), log.troubled))
-	}
-	f := newFleet(t, func(c *document.Configuration, d *Dependencies, _ *Options) { c.Limits.IdleTimeoutMs = 9000 }, all...)
-	f.server.dependencies.Select = f.chooseAnyOf(all)
+		instance := newStandIn(t, "i-"+strconv.Itoa(i), log.troubled)
+		instance.forgets = true
+		all = append(all, instance)
+	}
+	requests, routers := numberFrom(t, troubledRequestsVariable, troubledRequests), numberFrom(t, troubledRoutersVariable, 1)
+	var running sync.WaitGroup
+	for router := range routers {
+		f := newFleet(t, func(c *document.Configuration, d *Dependencies, _ *Options) { c.Limits.IdleTimeoutMs = 9000 }, all...)
+		f.server.dependencies.Select = f.chooseAnyOf(all)
+		running.Go(func() { playTroubles(t, f, log, router, requests) })
+	}
+	running.Wait()
+}
+
+// playTroubles has the clients of one router make so many requests.
+func playTroubles(t *testing.T, f *fleet, log *runLog, router, requests int) {
 	var clients sync.WaitGroup
-	for i := range 12 {
-		clients.Go(func() { askAmongTroubles(t, f, log, i) })
+	for i := range troubledClients {
+		clients.Go(func() { askAmongTroubles(t, f, log, router*troubledClients+i, requests/troubledClients) })
 	}
 	clients.Wait()
 	figures := f.server.Figures()
-	assert.Assert(t, figures.Succeeded > 200, "%+v", figures)
-	assert.Assert(t, figures.MayHaveRun > 50 && figures.Rejected > 50, "%+v", figures)
+	assert.Check(t, int(figures.Succeeded) > requests*200/troubledRequests, "%+v", figures)
+	assert.Check(t, int(figures.MayHaveRun) > requests*50/troubledRequests && int(figures.Rejected) > requests*50/troubledRequests, "%+v", figures)
 	waitFor(t, "no body held", func() bool { return f.server.Figures().BodyBytesHeld == 0 })
+	t.Logf("router %d: %d requests succeeded, %d attempts rejected, %d may have run", router, figures.Succeeded, figures.Rejected, figures.MayHaveRun)
 }
 
 // chooseAnyOf picks one of the instances that aren't excluded by chance.
@@ -129,9 +164,9 @@
 	}
 }
 
-func askAmongTroubles(t *testing.T, f *fleet, log *runLog, client int) {
+func askAmongTroubles(t *testing.T, f *fleet, log *runLog, client, requests int) {
 	var c *clientOfTroubles
-	for n := range 60 {
+	for n := range requests {
 		if c == nil {
 			c = newClientOfTroubles(t, f)
 		}
--- a/internal/router/front/fixture_test.go
+++ b/internal/router/front/fixture_test.go
@@ -42,6 +42,9 @@
 	listener net.Listener
 	script   func(c net.Conn, r *received) bool
 
+	// forgets says that requests are not kept, nor ends of connections told: there may be too many.
+	forgets bool
+
 	mutex sync.Mutex
 	got   []*received
 	conns int
@@ -72,7 +75,11 @@
 }
 
 func (s *standIn) serve(c net.Conn) {
-	defer func() { s.ended <- struct{}{} }()
+	defer func() {
+		if !s.forgets {
+			s.ended <- struct{}{}
+		}
+	}()
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
@@ -85,15 +92,22 @@
 			return
 		}
 		got := &received{Request: r, body: string(body), at: time.Now()}
-		s.mutex.Lock()
-		s.got = append(s.got, got)
-		s.mutex.Unlock()
+		s.keep(got)
 		if !s.script(c, got) {
 			return
 		}
 	}
 }
 
+func (s *standIn) keep(got *received) {
+	if s.forgets {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.got = append(s.got, got)
+}
+
 func (s *standIn) requests() []*received {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
