Bound the wait for each answer in the test of promises, not the connection

A connection that is used for many requests ran into the deadline that was set when it was made: a longer run ended with time-outs after 10 s. Each request has its 10 s now.

--- a/internal/router/front/chaos_test.go
+++ b/internal/router/front/chaos_test.go
@@ -190,6 +190,7 @@
 
 // ask sends a request, checks what comes, and tells whether the connection may be used again.
 func (c *clientOfTroubles) ask(t *testing.T, log *runLog, id, path string) bool {
+	c.SetDeadline(time.Now().Add(answerPatience)) // the connection is used for many requests
 	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: api.example\r\n%s: %s\r\nContent-Length: 2\r\n\r\nhi", path, protocol.HeaderRequestID, id)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
--- a/internal/router/front/fixture_test.go
+++ b/internal/router/front/fixture_test.go
@@ -256,10 +256,13 @@
 	reader *bufio.Reader
 }
 
+// answerPatience bounds the wait for an answer.
+const answerPatience = 10 * time.Second
+
 func (f *fleet) dial(t testing.TB) *client {
 	c, err := net.Dial("tcp", f.address)
 	assert.NilError(t, err)
-	c.SetDeadline(time.Now().Add(10 * time.Second))
+	c.SetDeadline(time.Now().Add(answerPatience))
 	t.Cleanup(func() { c.Close() })
 	return &client{t: t, Conn: c, reader: bufio.NewReader(c)}
 }
