--- a/internal/router/configstore/fleet_test.go
+++ b/internal/router/configstore/fleet_test.go
@@ -48,8 +48,9 @@
 	hears bool
 	// half holds the addresses of the machines that reach only each other; empty: all reach all.
 	half map[string]bool
-	// calls counts the calls of each machine.
-	calls map[string]int
+	// calls counts the calls of each machine, received the bytes of the answers to them.
+	calls    map[string]int
+	received map[string]int
 	// onCall is called before each call, if it is set.
 	onCall func(from *router, address string, message envelope)
 }
@@ -65,7 +66,7 @@
 }
 
 func newFleet(t *testing.T, initial ...string) *fleet {
-	fleet := &fleet{t: t, initial: initial, tolerate: 1, hears: true, stopped: make(chan struct{}), calls: map[string]int{}}
+	fleet := &fleet{t: t, initial: initial, tolerate: 1, hears: true, stopped: make(chan struct{}), calls: map[string]int{}, received: map[string]int{}}
 	t.Cleanup(fleet.stop)
 	return fleet
 }
@@ -290,6 +291,7 @@
 		return nil, errUnreachable
 	}
 	answer, err := store.HandleRequest(ctx, request)
+	router.fleet.countAnswer(router.address, len(answer))
 	sleep(ctx, jitter(linkDelay))
 	if ctx.Err() != nil {
 		return nil, errUnreachable
@@ -303,6 +305,18 @@
 	fleet.calls[address]++
 }
 
+func (fleet *fleet) countAnswer(address string, size int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.received[address] += size
+}
+
+func (fleet *fleet) receivedBy(router *router) int {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.received[router.address]
+}
+
 func (fleet *fleet) callsOf(router *router) int {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
@@ -336,6 +350,11 @@
 }
 
 func putChange(base, generation int64) func(State) (State, error) {
+	return putDocument(base, generation, documentOf(generation))
+}
+
+// putDocument is the order of a given document.
+func putDocument(base, generation int64, document []byte) func(State) (State, error) {
 	change := changeIDOf(base, generation)
 	return func(state State) (State, error) {
 		if state.HasChange(change) {
@@ -344,7 +363,7 @@
 		if state.Generation != base {
 			return state, errOtherVersion
 		}
-		return state.WithChange(documentOf(generation), generation, change), nil
+		return state.WithChange(document, generation, change), nil
 	}
 }
 
--- a/internal/router/configstore/worstdays_test.go
+++ b/internal/router/configstore/worstdays_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"pewterrudder/internal/router/disk/simdisk"
 )
 
 // cutTime is how long a machine stays cut off in these tests.
@@ -207,6 +209,82 @@
 	})
 }
 
+const (
+	// manyChanges are missed by a machine, every largeEvery-th of them with a document of largeDocument bytes that can't be packed.
+	manyChanges   = 1000
+	largeEvery    = 10
+	largeDocument = 200 << 10
+)
+
+// TestAMachineMissesAThousandChanges, some of them large, and comes back: it reads the newest state and nothing older, within a second, and
+// for the bytes of a few states.
+func TestAMachineMissesAThousandChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		large := make([]byte, largeDocument)
+		rand.NewChaCha8([32]byte{1}).Read(large)
+		fleet := newFleet(t, "a", "b", "c")
+		routers := fleet.startAll(true, "a", "b", "c")
+		routers[0].mustPut(t, 0, 1)
+		time.Sleep(settleTime)
+		routers[2].stop()
+		for generation := int64(1); generation < manyChanges; generation++ {
+			document := documentOf(generation + 1)
+			if (generation+1)%largeEvery == 0 {
+				document = append(document, large...)
+			}
+			_, err := routers[generation%2].store.Propose(context.Background(), putDocument(generation, generation+1, document))
+			assert.NilError(t, err)
+		}
+		routers[2].start(false)
+		begin := time.Now()
+		for time.Since(begin) < settleTime {
+			if generation, err := routers[2].read(); err == nil {
+				assert.Equal(t, generation, int64(manyChanges))
+				break
+			}
+		}
+		assert.Assert(t, time.Since(begin) < time.Second, "%v", time.Since(begin))
+		received := fleet.receivedBy(routers[2])
+		t.Logf("%d bytes received for %d missed changes", received, manyChanges-1)
+		assert.Assert(t, received < 8*largeDocument, "%d bytes", received)
+		routers[2].mustPut(t, manyChanges, manyChanges+1)
+		time.Sleep(settleTime)
+		fleet.assertForce(manyChanges + 1)
+	})
+}
+
+// TestStalledAndRefusingDisksAreSeen has a disk hang in a write, and then refuse one.
+func TestStalledAndRefusingDisksAreSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "a", "b", "c")
+		routers := fleet.startAll(true, "a", "b", "c")
+		routers[0].mustPut(t, 0, 1)
+		watched := routers[2]
+		assert.Equal(t, watched.store.WriteUnderWay(), time.Duration(0))
+		assert.Assert(t, !watched.store.RefusesWrites())
+		goesOn := make(chan struct{})
+		watched.disk.Before(func(simdisk.Operation, string) error {
+			<-goesOn
+			return nil
+		})
+		routers[0].mustPut(t, 1, 2)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, watched.store.WriteUnderWay() > 4*time.Second, "%v", watched.store.WriteUnderWay())
+		close(goesOn)
+		time.Sleep(time.Second)
+		assert.Equal(t, watched.store.WriteUnderWay(), time.Duration(0))
+		watched.disk.Before(nil)
+		watched.disk.SetCapacity(1)
+		routers[0].mustPut(t, 2, 3)
+		time.Sleep(time.Second)
+		assert.Assert(t, watched.store.RefusesWrites())
+		watched.disk.SetCapacity(0)
+		routers[0].mustPut(t, 3, 4)
+		time.Sleep(time.Second)
+		assert.Assert(t, !watched.store.RefusesWrites())
+	})
+}
+
 // TestBallotsAreNotSharedByProcesses of one machine: an answer to the one before a restart must not count for the one after it.
 func TestBallotsAreNotSharedByProcesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
