--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -22,7 +22,7 @@
 	beatLateBy    = 5 * time.Second
 	killAfterAck  = 100 * time.Millisecond
 	downFor       = 500 * time.Millisecond
-	servesOnFor   = 8500 * time.Millisecond // after its farewell; then the instance ends
+	servesOnFor   = 9000 * time.Millisecond // after its farewell; then the instance ends
 	afterItsEnd   = 3 * time.Second
 	drainWork     = 150 * time.Millisecond
 	drainRequests = 60 // a second
@@ -79,7 +79,7 @@
 	defer stopSending()
 	answers := map[string]int{}
 	clients.Go(func() {
-		dropClients(sending, f, func(id, router string, status int, err error) {
+		dropClients(sending, rec, f, func(id, router string, status int, err error) {
 			mutex.Lock()
 			defer mutex.Unlock()
 			answers[id] = status
@@ -116,7 +116,7 @@
 				return false, err
 			}
 		}
-		touchFrom = time.Now().Add(contact)
+		touchFrom = time.Now().Add(2 * contact) // as after a fault that took most of the core
 		rec.say("all processes were killed and started again")
 	}
 	network.Wait()
@@ -131,7 +131,7 @@
 	after, others, lost := 0, 0, 0
 	for _, r := range runs {
 		switch {
-		case r.at.Before(ackAt.Add(drainBound)) || r.at.Before(touchFrom.Add(time.Second)):
+		case r.at.Before(ackAt.Add(drainBound)) || r.at.Before(touchFrom.Add(2*drainWork)):
 			// The request may have been sent before the machines were in touch again.
 		case r.instance == leaving.id:
 			after++
@@ -152,7 +152,7 @@
 }
 
 // dropClients sends requests to the routers in turn, each on a connection of its own, and tells how each ended.
-func dropClients(ctx context.Context, f *fleet, ended func(id, router string, status int, err error)) {
+func dropClients(ctx context.Context, rec *record, f *fleet, ended func(id, router string, status int, err error)) {
 	var under sync.WaitGroup
 	defer under.Wait()
 	ticker := time.NewTicker(time.Second / drainRequests)
@@ -166,6 +166,7 @@
 		router := f.routers[rand.IntN(len(f.routers))]
 		under.Go(func() {
 			id := fmt.Sprintf("d-%d", number)
+			rec.printf("client: %s: sent to %s", id, router.name())
 			status, err := dropRequest(router.front(), id)
 			ended(id, router.name(), status, err)
 		})
--- a/review/rig/keys.go
+++ b/review/rig/keys.go
@@ -65,7 +65,9 @@
 				id := fmt.Sprintf("%s-%d", kind, number)
 				key := map[string]string{"held": heldKey, "never": neverKey}[kind]
 				sent[id] = time.Now()
-				status, err := draftRequest(f.routers[number%len(f.routers)].front(), id, key)
+				r := f.routers[number%len(f.routers)]
+				rec.printf("client: %s: sent to %s with %s", id, r.name(), key)
+				status, err := draftRequest(r.front(), id, key)
 				rec.printf("client: %s: %d %v", id, status, err)
 			}
 			time.Sleep(20 * time.Millisecond)
--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -167,6 +167,7 @@
 func uploadUntil(rec *record, r *router, name string, until time.Time, counts *sync.Map) {
 	for number := 0; time.Now().Before(until); number++ {
 		id := fmt.Sprintf("%s-%d", name, number)
+		rec.printf("client: %s: sent to %s", id, r.name())
 		status, wait, err := upload(r.front(), id)
 		outcome := fmt.Sprint(status)
 		if err != nil {
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -147,6 +147,7 @@
 		}
 		id := fmt.Sprintf("q%d-%d", n, number)
 		c.SetDeadline(time.Now().Add(2 * time.Second))
+		rec.printf("client: %s: sent to %s", id, r.name())
 		fmt.Fprintf(c, "POST /draft/1 HTTP/1.1\r\nHost: desk.example\r\nX-Pewterrudder-Request-Id: %s\r\nX-Pewterrudder-Deadline-Ms: 2000\r\nX-Pewterrudder-Token-Count: %d,%d\r\nApi-Key: k-kaje80\r\nContent-Length: 5\r\n\r\nhello", id, requestTokens-80, 80)
 		answer, err := http.ReadResponse(reader, nil)
 		if err != nil {
