Keep departures of instances on disk before they are acknowledged

What callers saw: an instance deregistered and got its acknowledgement, all routers were killed and restarted, and a late heartbeat registered the ended instance again.

Cause: the acknowledgement rested on a quorum of acceptors that held the removal in memory. Soft state is announced again by its source, but an instance that has left announces nothing, so a restart of all routers forgot the removal, and any heartbeat of the id was the first one known. `draining` was forgotten in the same way.

Change: package recordstore keeps selected soft-state records on disk. Each router with a disk saves the departures that it hears of, and confirms one to another router, or counts itself, only once it is durable. At its start it merges what an earlier process saved. Any majority of the acceptors that a tolerated loss of disks leaves has one with the record, and the table of records spreads it.

TestConfirmNeedsMajorityOfDisks needs the new option.

--- a/internal/router/cluster/cluster.go
+++ b/internal/router/cluster/cluster.go
@@ -43,13 +43,17 @@
 	// any seed.
 	FirstStart bool
 	Transport  Messenger
-	Log        logrus.FieldLogger
+	// Persist, if not nil, returns nil once the records, as far as they must outlast a restart, are on this router's disk.
+	// The router confirms records only after that.
+	Persist func(ctx context.Context, records []softstate.Record) error
+	Log     logrus.FieldLogger
 }
 
 // Cluster is the local router's view of the fleet and its connection to it. It is safe for concurrent use.
 type Cluster struct {
 	log        logrus.FieldLogger
 	messenger  Messenger
+	persist    func(ctx context.Context, records []softstate.Record) error
 	firstStart bool
 	epoch      uint64
 	seeds      atomic.Pointer[[]string]
@@ -84,6 +88,7 @@
 	c := &Cluster{
 		log:          options.Log,
 		messenger:    options.Transport,
+		persist:      options.Persist,
 		firstStart:   options.FirstStart,
 		epoch:        options.Self.Incarnation,
 		events:       make(chan event, eventQueueSize),
@@ -92,6 +97,9 @@
 		synchronized: make(chan struct{}),
 		table:        softstate.NewTable(),
 	}
+	if c.persist == nil {
+		c.persist = func(context.Context, []softstate.Record) error { return nil }
+	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.loop = newEventLoop(c, options.Self, time.Now())
 	c.view.Store(c.loop.detector.View())
@@ -143,6 +151,9 @@
 	}
 }
 
+// Restore merges records that an earlier process of this router has kept, and sends those that are news to the others.
+func (c *Cluster) Restore(records []softstate.Record) { c.mergeAndWait(records) }
+
 // Watch registers a callback for each record of the kind that supersedes the one in the table, including those that
 // this router publishes. Callbacks run in merge order on a single goroutine. Watch must be called before Start.
 func (c *Cluster) Watch(kind softstate.Kind, callback func(softstate.Record)) {
--- a/internal/router/cluster/confirm_test.go
+++ b/internal/router/cluster/confirm_test.go
@@ -74,6 +74,29 @@
 	}
 }
 
+// TestConfirmNeedsMajorityOfDisks guards against an acknowledgement that a restart of all routers would forget: replicas
+// that hold a record in memory alone don't count, whether they are asked or ask themselves.
+func TestConfirmNeedsMajorityOfDisks(t *testing.T) {
+	const size, replicas = 5, 3
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, size, 3, 1)
+		f.startAndSettle()
+		for failing := range replicas + 1 {
+			for i, r := range f.routers {
+				r.diskFails.Store(i < failing)
+			}
+			for _, from := range f.routers {
+				err := f.confirm(from, fmt.Sprint(from.member.Node, failing), replicas)
+				if failing <= replicas/2 {
+					assert.NilError(t, err, "%d disks fail, from %s", failing, from.member.Node)
+				} else {
+					assert.ErrorIs(t, err, ErrNotConfirmed, "%d disks fail, from %s", failing, from.member.Node)
+				}
+			}
+		}
+	})
+}
+
 // TestOneThatIsCutOffConfirmsNothing checks that a router without links to the others gets no confirmation.
 func TestOneThatIsCutOffConfirmsNothing(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/router/cluster/fleet_test.go
+++ b/internal/router/cluster/fleet_test.go
@@ -1,14 +1,17 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
@@ -36,6 +39,19 @@
 	running  bool
 
 	frozenUntil time.Time
+	// diskFails makes the router unable to persist records.
+	diskFails atomic.Bool
+}
+
+// errDiskFails is what a router with a failed disk returns for records to persist.
+var errDiskFails = errors.New("the disk refuses writes")
+
+// persist is the router's Persist function.
+func (r *router) persist(context.Context, []softstate.Record) error {
+	if r.diskFails.Load() {
+		return errDiskFails
+	}
+	return nil
 }
 
 // inBubble runs a test in a synctest bubble, that is, in virtual time.
@@ -76,6 +92,7 @@
 		Seeds:      f.seeds,
 		FirstStart: firstStart,
 		Transport:  r.endpoint,
+		Persist:    r.persist,
 		Log:        f.log,
 	})
 	r.running = true
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -25,6 +25,7 @@
 	"pewterrudder/internal/router/membership"
 	"pewterrudder/internal/router/prefixagreement"
 	"pewterrudder/internal/router/protocol"
+	"pewterrudder/internal/router/recordstore"
 	"pewterrudder/internal/router/registry"
 	"pewterrudder/internal/router/routing"
 	"pewterrudder/internal/router/selection"
@@ -60,15 +61,17 @@
 	cluster   *cluster.Cluster
 	store     *configstore.Store
 	registry  *registry.Registry
-	selector  *selection.Selector
-	sightings *blockSightings // nil: sightings are not exchanged
-	attempts  *attempt.Pool
-	shares    *shares.Shares
-	keyLease  *keyLease // nil: a router accepts a revoked key until it learns of the revocation
-	discovery fleetDiscovery
-	front     *front.Server
-	table     atomic.Pointer[routing.Table]
-	document  atomic.Pointer[document.Configuration]
+	// departures keeps the departures of instances on disk. It is nil on a router without a data directory.
+	departures *recordstore.Store
+	selector   *selection.Selector
+	sightings  *blockSightings // nil: sightings are not exchanged
+	attempts   *attempt.Pool
+	shares     *shares.Shares
+	keyLease   *keyLease // nil: a router accepts a revoked key until it learns of the revocation
+	discovery  fleetDiscovery
+	front      *front.Server
+	table      atomic.Pointer[routing.Table]
+	document   atomic.Pointer[document.Configuration]
 
 	prefixes  *prefixagreement.Agreement // nil: disabled
 	readiness readiness
@@ -199,13 +202,17 @@
 
 		AcceptorVolatile: !s.IsAcceptor(),
 	}
-	n.cluster = cluster.New(cluster.Options{
+	options := cluster.Options{
 		Self:       self,
 		Seeds:      seedAddresses(s),
 		FirstStart: s.Bootstrap,
 		Transport:  n.transport,
 		Log:        n.log,
-	})
+	}
+	if n.departures = n.newDepartureStore(s); n.departures != nil {
+		options.Persist = n.departures.Persist
+	}
+	n.cluster = cluster.New(options)
 	return nil
 }
 
@@ -224,10 +231,14 @@
 		OnChange:  n.onInstancesChanged,
 	})
 	n.cluster.Watch(recordInstance, n.registry.HandleRecord)
+	if n.departures != nil {
+		n.cluster.Watch(recordInstance, n.departures.Add)
+	}
 	n.cluster.Watch(recordConfiguration, func(record softstate.Record) { n.store.Learn(record.Payload) })
 	n.cluster.OnView(n.onMembershipChange)
 	n.store.OnChosen(n.onConfigurationChosen)
 	n.cluster.Start()
+	n.startDepartures(ctx, s)
 	go n.registry.Run(ctx)
 	go n.refreshAcceptors(ctx)
 	return nil
--- a/internal/router/periodic/periodic.go
+++ b/internal/router/periodic/periodic.go
@@ -1,4 +1,4 @@
-// Package periodic runs work at fixed intervals.
+// Package periodic runs work at fixed intervals, and pauses.
 package periodic
 
 import (
@@ -23,3 +23,15 @@
 		}
 	}
 }
+
+// Sleep pauses and reports whether the pause ended before the context.
+func Sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/router/registry/registry.go
+++ b/internal/router/registry/registry.go
@@ -192,7 +192,7 @@
 // mergeRecord merges a record into the table. The lock must be held.
 func (r *Registry) mergeRecord(record softstate.Record) {
 	now := r.now()
-	version := instances.Version{Heartbeat: record.Version.Epoch, Expired: record.Version.Sequence}
+	version := versionOf(record)
 	if record.Removed {
 		if r.table.Remove(now, version, record.Key) {
 			r.updateSnapshot()
--- a/internal/router/registry/registry_test.go
+++ b/internal/router/registry/registry_test.go
@@ -311,3 +311,26 @@
 }
 
 var errPartitioned = errors.New("partitioned")
+
+// TestIsDeparture checks which records an acknowledgement to a leaving instance rests on.
+func TestIsDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "r-1")
+		first := f.routers[0]
+		isDeparture := func() bool {
+			record, _ := first.lastPublished("i-1")
+			return IsDeparture(record)
+		}
+		first.sendHeartbeat("i-1", ready, 1)
+		assert.Assert(t, !isDeparture(), "ready")
+		time.Sleep(testSilenceTimeout)
+		assert.Assert(t, !isDeparture(), "expired")
+		first.sendHeartbeat("i-1", draining, 2)
+		assert.Assert(t, isDeparture(), "draining")
+		first.sendHeartbeat("i-1", ready, 3)
+		assert.Assert(t, !isDeparture(), "ready again")
+		assert.NilError(t, first.registry.Deregister(t.Context(), "i-1"))
+		assert.Assert(t, isDeparture(), "deregistered")
+		assert.Assert(t, !IsDeparture(softstate.Record{Payload: []byte("\xff")}), "unreadable")
+	})
+}
