Require API keys while the list of tenants is empty

Cause: a route needed a key only if the configuration in force had a tenant. An empty list, which a patch leaves behind, was taken for no list at all. The key lease asked the same question, so that in deployments with a bound on revocations it ran out while there was no tenant, and keys would have got 503 in place of 401.

Change: Table.UsesKeys says that keys are needed where the configuration has a list of tenants, empty or not, or where the settings name the contract "tenants", by which each configuration holds the list. The front and the key lease both use it.

--- a/internal/router/front/fixture_test.go
+++ b/internal/router/front/fixture_test.go
@@ -203,7 +203,7 @@
 	if change != nil {
 		change(configuration, &f.deps, &options)
 	}
-	table := routing.Build(configuration)
+	table := routing.Build(configuration, routing.Options{})
 	if f.deps.Table == nil {
 		f.deps.Table = func() *routing.Table { return table }
 	}
--- a/internal/router/node/configuration.go
+++ b/internal/router/node/configuration.go
@@ -55,7 +55,7 @@
 		n.log.WithError(err).Error("cannot parse the chosen configuration")
 		return false
 	}
-	table := routing.Build(parsed)
+	table := routing.Build(parsed, routing.Options{HasTenants: n.Settings().HasTenants()})
 	n.selector.SetBackends(backendConfigs(table))
 	n.shares.SetLimits(tenantLimits(parsed))
 	n.document.Store(parsed)
--- a/internal/router/node/keylease.go
+++ b/internal/router/node/keylease.go
@@ -28,7 +28,7 @@
 	clock            *steadyclock.Clock
 	readRegister     func(ctx context.Context) (revision uint64, err error)
 	isCoordinator    func() bool // reports whether this router is the coordinator
-	hasKeys          func() bool // reports whether the configuration has API keys
+	usesKeys         func() bool // reports whether requests need API keys
 	nextFallbackRead time.Time   // earliest time of this router's next read of its own
 }
 
@@ -43,15 +43,15 @@
 		clock:         n.clock,
 		readRegister:  n.store.ReadRevision,
 		isCoordinator: func() bool { return n.shares.IsCoordinator() },
-		hasKeys:       n.hasTenants,
+		usesKeys:      n.usesKeys,
 	}
 	return nil
 }
 
-// hasTenants reports whether the configuration in force has tenants, and hence API keys.
-func (n *Node) hasTenants() bool {
-	parsed := n.document.Load()
-	return parsed != nil && len(parsed.Tenants) > 0
+// usesKeys reports whether requests need API keys by the configuration in force.
+func (n *Node) usesKeys() bool {
+	table := n.table.Load()
+	return table != nil && table.UsesKeys()
 }
 
 // keyLeaseCheck returns the function by which the front checks that the key lease holds, or nil if revocations have no
@@ -91,7 +91,7 @@
 func (k *keyLease) run(ctx context.Context) {
 	interval := time.Duration(coordinatorReadShare * float64(k.lease.Duration()))
 	for ctx.Err() == nil {
-		if k.hasKeys() && k.isDue() {
+		if k.usesKeys() && k.isDue() {
 			k.renew(ctx)
 		}
 		sleep(ctx, interval)
--- a/internal/router/routing/benchmark_test.go
+++ b/internal/router/routing/benchmark_test.go
@@ -27,12 +27,12 @@
 	configuration := largeConfiguration()
 	b.ReportAllocs()
 	for b.Loop() {
-		Build(configuration)
+		Build(configuration, Options{})
 	}
 }
 
 func BenchmarkLookup(b *testing.B) {
-	table := Build(largeConfiguration())
+	table := Build(largeConfiguration(), Options{})
 	b.ReportAllocs()
 	for b.Loop() {
 		if table.Lookup("host7.example:8080", "/prefix47/one/two/three") == nil {
--- a/internal/router/routing/quotas_test.go
+++ b/internal/router/routing/quotas_test.go
@@ -10,7 +10,7 @@
 
 func TestQuotas(t *testing.T) {
 	quotas := func(tenants ...document.Tenant) map[string]float64 {
-		return Build(&document.Configuration{Tenants: tenants}).Quotas()
+		return Build(&document.Configuration{Tenants: tenants}, Options{}).Quotas()
 	}
 	a := document.Tenant{Name: "a", APIKeys: []string{"k", "l"}, PerS: 4}
 	b := document.Tenant{Name: "b", APIKeys: []string{"m"}, PerS: 6}
--- a/internal/router/routing/table.go
+++ b/internal/router/routing/table.go
@@ -13,15 +13,21 @@
 	hosts          map[string]*hostRoutes
 	routes         []*Route
 	tenantsByKey   map[string]*Tenant // by API key
-	hasTenants     bool               // the configuration has tenants, with or without keys
+	usesKeys       bool
 	backends       []*Backend
 	backendsByName map[string]*Backend
 	limits         document.Limits
 }
 
+// Options are properties of the deployment that a configuration does not hold.
+type Options struct {
+	// HasTenants means that the clients of the deployment are tenants, even if a configuration has no list of them.
+	HasTenants bool
+}
+
 // Build returns the table of a configuration, which must be valid.
-func Build(c *document.Configuration) *Table {
-	table := &Table{generation: c.Generation, limits: c.Limits, hasTenants: len(c.Tenants) > 0}
+func Build(c *document.Configuration, options Options) *Table {
+	table := &Table{generation: c.Generation, limits: c.Limits, usesKeys: options.HasTenants || c.Tenants != nil}
 	table.addRoutes(c.Routes)
 	table.addBackends(c.Backends)
 	table.addTenants(c.Tenants)
@@ -76,5 +82,9 @@
 // Tenant returns the tenant of an API key, nil if no tenant has the key.
 func (t *Table) Tenant(key string) *Tenant { return t.tenantsByKey[key] }
 
+// UsesKeys reports whether requests need an API key, except on public routes. An empty list of tenants means that no key
+// is valid, not that none is needed: the removal of the last tenant must not open the services.
+func (t *Table) UsesKeys() bool { return t.usesKeys }
+
 // RequiresKey reports whether requests of a route need an API key.
-func (t *Table) RequiresKey(r *Route) bool { return t.hasTenants && !r.Public }
+func (t *Table) RequiresKey(r *Route) bool { return t.usesKeys && !r.Public }
--- a/internal/router/routing/table_test.go
+++ b/internal/router/routing/table_test.go
@@ -22,7 +22,7 @@
 func TestLookupMatchesLinearScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		configuration := drawRoutes(t)
-		table := Build(configuration)
+		table := Build(configuration, Options{})
 		host := hostGenerator.Draw(t, "host") + portGenerator.Draw(t, "port")
 		path := drawPath(t) + rapid.SampledFrom([]string{"", "p", "x"}).Draw(t, "rest")
 		name := ""
@@ -62,7 +62,7 @@
 	table := Build(&document.Configuration{Routes: []document.Route{
 		{Name: "root", Hostname: "a", PathPrefix: "/"},
 		{Name: "six", Hostname: "[::1]", PathPrefix: "/"},
-	}})
+	}}, Options{})
 	assert.Equal(t, table.Lookup("a", "/").Name, "root")
 	assert.Equal(t, table.Lookup("[::1]", "/x").Name, "six")
 	assert.Equal(t, table.Lookup("[::1]:80", "/x").Name, "six")
@@ -74,7 +74,7 @@
 }
 
 func TestLookupAllocatesNothing(t *testing.T) {
-	table := Build(&document.Configuration{Routes: []document.Route{{Name: "r", Hostname: "a.example", PathPrefix: "/p/q/"}}})
+	table := Build(&document.Configuration{Routes: []document.Route{{Name: "r", Hostname: "a.example", PathPrefix: "/p/q/"}}}, Options{})
 	allocations := testing.AllocsPerRun(100, func() {
 		if table.Lookup("A.Example:8443", "/p/q/r/s") == nil || table.Lookup("A.Example", "/p") != nil {
 			t.Fatal("wrong route")
@@ -89,7 +89,7 @@
 		{Name: "u", APIKeys: []string{"m"}},
 		{Name: "v"},
 	}}
-	table := Build(configuration)
+	table := Build(configuration, Options{})
 	for _, key := range []string{"k", "l", "m", "K", "", "n"} {
 		name := ""
 		if tenant := table.Tenant(key); tenant != nil {
@@ -101,19 +101,36 @@
 	assert.Equal(t, table.Tenant("m").CountsTokens, false)
 }
 
+// TestRequiresKey guards against a configuration whose last tenant was removed: it must let no request in, rather than
+// all of them.
 func TestRequiresKey(t *testing.T) {
-	withoutTenants := Build(&document.Configuration{})
-	withTenants := Build(&document.Configuration{Tenants: []document.Tenant{{Name: "t"}}})
-	assert.Equal(t, withoutTenants.RequiresKey(&Route{}), false)
-	assert.Equal(t, withTenants.RequiresKey(&Route{}), true)
-	assert.Equal(t, withTenants.RequiresKey(&Route{Public: true}), false)
+	tenants := Options{HasTenants: true}
+	cases := []struct {
+		name     string
+		tenants  []document.Tenant
+		options  Options
+		required bool
+	}{
+		{"no list of tenants", nil, Options{}, false},
+		{"no list of tenants in a deployment with tenants", nil, tenants, true},
+		{"the last tenant was removed", []document.Tenant{}, Options{}, true},
+		{"the last tenant was removed in a deployment with tenants", []document.Tenant{}, tenants, true},
+		{"a tenant without keys", []document.Tenant{{Name: "t"}}, Options{}, true},
+		{"a tenant with a key", []document.Tenant{{Name: "t", APIKeys: []string{"k"}}}, tenants, true},
+	}
+	for _, test := range cases {
+		table := Build(&document.Configuration{Tenants: test.tenants}, test.options)
+		assert.Equal(t, table.UsesKeys(), test.required, test.name)
+		assert.Equal(t, table.RequiresKey(&Route{}), test.required, test.name)
+		assert.Equal(t, table.RequiresKey(&Route{Public: true}), false, test.name)
+	}
 }
 
 func TestBuildConvertsRoutes(t *testing.T) {
 	table := Build(&document.Configuration{Generation: 9, Limits: document.Limits{MaxBodyBytes: 8}, Routes: []document.Route{{
 		Name: "r", Hostname: "A", PathPrefix: "/p/", Kind: document.KindStreaming, TimeoutMs: 1500.5, TargetMs: 150, GapAimMs: 200,
 		Priority: 3, Retries: 2, Public: true, Sticky: true, Resume: true, Backend: "b",
-	}}})
+	}}}, Options{})
 	route := *table.Routes()[0]
 	route.shares = nil
 	assert.Assert(t, fmt.Sprint(route) == fmt.Sprint(Route{
@@ -125,7 +142,7 @@
 }
 
 func TestBuildAdjustsRetriesAndTimeout(t *testing.T) {
-	table := Build(&document.Configuration{Routes: []document.Route{{Hostname: "a", PathPrefix: "/", TimeoutMs: 1e300}}})
+	table := Build(&document.Configuration{Routes: []document.Route{{Hostname: "a", PathPrefix: "/", TimeoutMs: 1e300}}}, Options{})
 	assert.Equal(t, table.Routes()[0].Retries, 1)
 	assert.Equal(t, table.Routes()[0].Timeout, time.Duration(math.MaxInt64))
 }
@@ -134,7 +151,7 @@
 	engine := &document.Engine{Slots: 4}
 	table := Build(&document.Configuration{Backends: []document.Backend{
 		{Name: "b", HealthPath: "/h", MaxConns: 7, ColdPerS: 0.5, Protocol: "h1", TLS: true, Engine: engine}, {Name: "a"},
-	}})
+	}}, Options{})
 	assert.DeepEqual(t, *table.Backend("b"), Backend{Name: "b", HealthPath: "/h", MaxConnections: 7, ColdPerSecond: 0.5, Protocol: "h1", TLS: true, Engine: engine})
 	assert.Equal(t, len(table.Backends()), 2)
 	assert.Equal(t, table.Backends()[1], table.Backend("a"))
--- a/internal/router/settings/settings.go
+++ b/internal/router/settings/settings.go
@@ -16,6 +16,9 @@
 	ServesControl = "control"
 )
 
+// contractTenants is the contract of deployments whose clients are tenants.
+const contractTenants = "tenants"
+
 // Settings hold the configuration that the platform passes to a process. Unknown keys are ignored. docs/settings.md
 // describes each key.
 type Settings struct {
@@ -106,6 +109,9 @@
 // ServesTo reports whether the process serves the given kind of callers: ServesEdge or ServesControl.
 func (s *Settings) ServesTo(audience string) bool { return slices.Contains(s.Serves, audience) }
 
+// HasTenants reports whether the clients of the deployment are tenants, who need API keys.
+func (s *Settings) HasTenants() bool { return slices.Contains(s.Contracts, contractTenants) }
+
 // IsAcceptor reports whether the process holds a replica of the configuration register.
 func (s *Settings) IsAcceptor() bool {
 	return s.CountsForQuorum && s.DataDir != "" && s.ServesTo(ServesControl)
