Confirm a departure anew after the instance was ready elsewhere

Cause: a router remembers that it has confirmed an instance's departure, and dropped that only when the instance's own heartbeat told it of the return. An instance that drained at one router, became ready again at another and then deregistered at the first was acknowledged at once, by a confirmation of its earlier departure; other routers might not learn of the later one.

Change: a registration that is not draining, from whatever router, ends the memory of the confirmation.

Evidence: TestDepartureAfterReturnAtAnotherRouterIsConfirmed fails on the tree before (1 confirmation in place of 2).

--- a/internal/router/registry/registry.go
+++ b/internal/router/registry/registry.go
@@ -208,6 +208,9 @@
 	if r.table.Register(now, version, registration) {
 		r.updateSnapshot()
 	}
+	if registration.Instance.State != protocol.StateDraining {
+		delete(r.confirmed, record.Key)
+	}
 	if registration.Holder != r.options.Node {
 		r.republishIfNewer(record.Key, version)
 	}
--- a/internal/router/registry/registry_test.go
+++ b/internal/router/registry/registry_test.go
@@ -310,6 +310,27 @@
 	})
 }
 
+// TestDepartureAfterReturnAtAnotherRouterIsConfirmed guards against an acknowledgement that rests on an earlier
+// departure: the instance has become ready again at another router since.
+func TestDepartureAfterReturnAtAnotherRouterIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "r-1", "r-2")
+		first, second := f.routers[0], f.routers[1]
+		confirmCalls := 0
+		first.registry.options.Confirm = func(context.Context, softstate.ID) error {
+			confirmCalls++
+			return nil
+		}
+		first.sendHeartbeat("i-1", draining, 1)
+		assert.Equal(t, confirmCalls, 1)
+		second.sendHeartbeat("i-1", ready, 2)
+		time.Sleep(time.Second)
+		f.assertAll("i-1", ready)
+		assert.NilError(t, first.registry.Deregister(t.Context(), "i-1"))
+		assert.Equal(t, confirmCalls, 2)
+	})
+}
+
 var errPartitioned = errors.New("partitioned")
 
 // TestIsDeparture checks which records an acknowledgement to a leaving instance rests on.
