Wait at the start for a ready instance of each backend, not a draining one

Cause: a starting router waits until each backend has a ready instance, but counted draining ones, too. Since departures are kept on disk, a router that restarts knows draining instances before any instance has announced itself, and could take requests that it can send nowhere.

Change: only ready instances count.

Evidence: TestDrainingInstancesDoNotMakeRouterReady fails without the change.

--- a/internal/router/node/readiness.go
+++ b/internal/router/node/readiness.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"pewterrudder/internal/router/instances"
 	"pewterrudder/internal/router/protocol"
 	"pewterrudder/internal/router/resultcode"
 	"pewterrudder/internal/router/settings"
@@ -126,7 +128,7 @@
 func (n *Node) everyBackendHasInstances() bool {
 	snapshot := n.registry.Snapshot()
 	for _, backend := range n.table.Load().Backends() {
-		if len(snapshot.Backend(backend.Name)) == 0 {
+		if !slices.ContainsFunc(snapshot.Backend(backend.Name), (*instances.Instance).Ready) {
 			return false
 		}
 	}
