Look at a third disk only after its write in TestDiskHealthIsReported

Cause: the test expected no write in progress right after a change was acknowledged.

Change: the test waits for its settle time first; what it then expects of the disk is as before.

--- a/internal/router/configstore/faults_test.go
+++ b/internal/router/configstore/faults_test.go
@@ -266,6 +266,7 @@
 		routers := fleet.startAll(true, "a", "b", "c")
 		routers[0].mustPut(t, 0, 1)
 		observed := routers[2]
+		time.Sleep(settleTime) // a change is acknowledged by a majority, and the third disk may still write
 		assert.Equal(t, observed.store.PendingWriteDuration(), time.Duration(0))
 		assert.Assert(t, !observed.store.LastWriteFailed())
 		resume := make(chan struct{})
