--- a/internal/router/configstore/acceptor.go
+++ b/internal/router/configstore/acceptor.go
@@ -9,6 +9,7 @@
 
 	"pewterrudder/internal/router/casregister"
 	"pewterrudder/internal/router/disk"
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -132,7 +133,7 @@
 			return
 		}
 		acceptor.log.WithError(err).Warn("acceptor cannot open its record")
-		sleep(ctx, openRetryInterval)
+		periodic.Sleep(ctx, openRetryInterval)
 	}
 }
 
--- a/internal/router/configstore/discover.go
+++ b/internal/router/configstore/discover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -22,7 +24,7 @@
 		for _, address := range store.options.Seeds {
 			go store.queryKnownState(ctx, address)
 		}
-		sleep(ctx, jitter(discoverInterval))
+		periodic.Sleep(ctx, jitter(discoverInterval))
 	}
 }
 
--- a/internal/router/configstore/fleet_test.go
+++ b/internal/router/configstore/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"pewterrudder/internal/router/casregister"
 	"pewterrudder/internal/router/disk/simdisk"
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -280,7 +281,7 @@
 		onCall(router, address, message)
 	}
 	router.fleet.countCall(router.address)
-	sleep(ctx, jitter(linkDelay))
+	periodic.Sleep(ctx, jitter(linkDelay))
 	target := router.fleet.findRunning(address)
 	if target == nil || router.running() == nil || router.fleet.isSeparated(router.address, address) {
 		<-ctx.Done()
@@ -292,7 +293,7 @@
 	}
 	answer, err := store.HandleRequest(ctx, request)
 	router.fleet.countAnswer(router.address, len(answer))
-	sleep(ctx, jitter(linkDelay))
+	periodic.Sleep(ctx, jitter(linkDelay))
 	if ctx.Err() != nil {
 		return nil, errUnreachable
 	}
--- a/internal/router/configstore/propose.go
+++ b/internal/router/configstore/propose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pewterrudder/internal/router/casregister"
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -73,7 +74,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil && store.ctx.Err() == nil {
 		if store.startingSet().IsZero() {
-			sleep(ctx, unknownSetPollInterval)
+			periodic.Sleep(ctx, unknownSetPollInterval)
 			continue
 		}
 		result := store.proposeOnce(ctx, change)
@@ -94,7 +95,7 @@
 			wake(store.wakeDiscover)
 		case casregister.Preempted:
 			store.raiseBallot(result.HigherBallot)
-			sleep(ctx, rand.N(backoff))
+			periodic.Sleep(ctx, rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
 	}
--- a/internal/router/configstore/replication.go
+++ b/internal/router/configstore/replication.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pewterrudder/internal/router/casregister"
+	"pewterrudder/internal/router/periodic"
 )
 
 // replicationTimeout is how long a chosen proposal waits for the voters beyond its quorum if some voters are volatile.
@@ -30,7 +31,7 @@
 func (store *Store) rewriteChosenState(round *round, higher casregister.Ballot) *casregister.Proposer {
 	for {
 		store.raiseBallot(higher)
-		sleep(round.ctx, rand.N(minBackoff))
+		periodic.Sleep(round.ctx, rand.N(minBackoff))
 		proposer := store.newProposer(keepValue, true)
 		result := store.runProposer(round, proposer)
 		if result.Outcome == casregister.Chosen {
--- a/internal/router/configstore/resolve.go
+++ b/internal/router/configstore/resolve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pewterrudder/internal/router/casregister"
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -26,7 +27,7 @@
 			pause = resolveDelay
 			waitForWake(ctx, store.wakeResolve)
 		}
-		sleep(ctx, jitter(pause))
+		periodic.Sleep(ctx, jitter(pause))
 		if !store.isUnresolved() {
 			continue
 		}
--- a/internal/router/configstore/round.go
+++ b/internal/router/configstore/round.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pewterrudder/internal/router/casregister"
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -63,7 +64,7 @@
 			round.passReply(outgoing, reply)
 			return
 		}
-		sleep(round.ctx, jitter(pause))
+		periodic.Sleep(round.ctx, jitter(pause))
 		pause = min(2*pause, maxCallRetryInterval)
 	}
 }
@@ -128,13 +129,3 @@
 func jitter(pause time.Duration) time.Duration {
 	return pause/2 + rand.N(pause)
 }
-
-// sleep waits for the pause or until the context is done.
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/router/front/drain.go
+++ b/internal/router/front/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pewterrudder/internal/router/periodic"
 )
 
 // drainPollInterval is how often Drain closes idle connections and checks whether any connection is left.
@@ -14,7 +16,7 @@
 func (s *Server) Drain(ctx context.Context) {
 	s.drainingSince.Store(time.Now().UnixNano())
 	s.draining.Store(true)
-	sleep(ctx, s.options.DrainAcceptTime)
+	periodic.Sleep(ctx, s.options.DrainAcceptTime)
 	s.connections.stopListening()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
@@ -36,13 +38,3 @@
 	since := time.Unix(0, s.drainingSince.Load())
 	return time.Since(since) >= s.options.DrainAcceptTime+minIdleBeforeClose
 }
-
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/router/node/fleetsize.go
+++ b/internal/router/node/fleetsize.go
@@ -92,7 +92,7 @@
 	}
 	d.synchronized.Store(true)
 	onChange()
-	sleep(ctx, fleetSettleDelay)
+	periodic.Sleep(ctx, fleetSettleDelay)
 	d.settled.Store(ctx.Err() == nil)
 	onChange()
 }
--- a/internal/router/node/isolation.go
+++ b/internal/router/node/isolation.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/settings"
 	"pewterrudder/internal/router/steadyclock"
 )
@@ -58,7 +59,7 @@
 			answeredAt = askedAt
 		}
 		g.setIsolated(g.clock.Now()-answeredAt >= g.limit)
-		sleep(ctx, interval-(g.clock.Now()-askedAt))
+		periodic.Sleep(ctx, interval-(g.clock.Now()-askedAt))
 	}
 }
 
--- a/internal/router/node/keylease.go
+++ b/internal/router/node/keylease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pewterrudder/internal/router/configlease"
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/settings"
 	"pewterrudder/internal/router/steadyclock"
 )
@@ -94,7 +95,7 @@
 		if k.usesKeys() && k.isDue() {
 			k.renew(ctx)
 		}
-		sleep(ctx, interval)
+		periodic.Sleep(ctx, interval)
 	}
 }
 
--- a/internal/router/node/readiness.go
+++ b/internal/router/node/readiness.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"pewterrudder/internal/router/instances"
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/protocol"
 	"pewterrudder/internal/router/resultcode"
 	"pewterrudder/internal/router/settings"
@@ -97,7 +98,7 @@
 		if enough && n.table.Load() != nil {
 			return
 		}
-		sleep(ctx, readinessPollInterval)
+		periodic.Sleep(ctx, readinessPollInterval)
 	}
 }
 
@@ -120,7 +121,7 @@
 		if n.everyBackendHasInstances() {
 			return
 		}
-		sleep(ctx, readinessPollInterval)
+		periodic.Sleep(ctx, readinessPollInterval)
 	}
 }
 
@@ -134,13 +135,3 @@
 	}
 	return true
 }
-
-// sleep waits for the duration or until the context ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/router/node/sightings.go
+++ b/internal/router/node/sightings.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"time"
 
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/selection"
 	"pewterrudder/internal/router/settings"
 	"pewterrudder/internal/router/sightings"
@@ -64,7 +65,7 @@
 		if n.sightings.exchange.Synchronized() {
 			return
 		}
-		sleep(ctx, readinessPollInterval/5)
+		periodic.Sleep(ctx, readinessPollInterval/5)
 	}
 	n.sightings.exchange.SetSynchronized()
 }
--- a/internal/router/periodic/periodic_test.go
+++ b/internal/router/periodic/periodic_test.go
@@ -37,3 +37,15 @@
 		assert.Equal(t, calls, 4) // at 1, 3.5, 6 and 8.5 seconds
 	})
 }
+
+func TestSleepEndsWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		begin := time.Now()
+		assert.Assert(t, Sleep(ctx, 2*time.Second))
+		assert.Equal(t, time.Since(begin), 2*time.Second)
+		assert.Assert(t, !Sleep(ctx, 2*time.Second))
+		assert.Equal(t, time.Since(begin), 3*time.Second)
+	})
+}
--- a/internal/router/shares/exchangeloop.go
+++ b/internal/router/shares/exchangeloop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pewterrudder/internal/router/periodic"
 )
 
 const (
@@ -97,7 +99,7 @@
 
 // waitForNextExchange waits until the next report is due. It returns false if the context has ended.
 func (s *Shares) waitForNextExchange(ctx context.Context) bool {
-	if !sleep(ctx, minExchangeInterval) {
+	if !periodic.Sleep(ctx, minExchangeInterval) {
 		return false
 	}
 	timer := time.NewTimer(s.exchangeInterval() - minExchangeInterval)
--- a/internal/router/shares/fleet_test.go
+++ b/internal/router/shares/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/quota"
 	"pewterrudder/internal/router/settings"
 	"pewterrudder/internal/router/steadyclock"
@@ -272,7 +273,7 @@
 
 // wait sleeps for the delay. It returns the context's error if the context ends first.
 func wait(ctx context.Context, delay time.Duration) error {
-	if !sleep(ctx, delay) {
+	if !periodic.Sleep(ctx, delay) {
 		return ctx.Err()
 	}
 	return nil
--- a/internal/router/shares/floors.go
+++ b/internal/router/shares/floors.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/quota"
 )
 
@@ -30,7 +31,7 @@
 			break
 		}
 		s.options.Log.WithError(err).Warn("cannot read quota floors, retrying")
-		if !sleep(ctx, floorRetryDelay) {
+		if !periodic.Sleep(ctx, floorRetryDelay) {
 			return
 		}
 	}
@@ -42,7 +43,7 @@
 		}
 		if err := s.saveFloors(); err != nil {
 			s.options.Log.WithError(err).Warn("cannot save quota floors")
-			if !sleep(ctx, floorRetryDelay) {
+			if !periodic.Sleep(ctx, floorRetryDelay) {
 				return
 			}
 		}
--- a/internal/router/shares/leaseloop.go
+++ b/internal/router/shares/leaseloop.go
@@ -166,15 +166,3 @@
 	}
 	return held
 }
-
-// sleep waits for the pause. It returns false if the context has ended.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/router/shares/shares.go
+++ b/internal/router/shares/shares.go
@@ -16,6 +16,7 @@
 
 	"pewterrudder/internal/router/configlease"
 	"pewterrudder/internal/router/lease"
+	"pewterrudder/internal/router/periodic"
 	"pewterrudder/internal/router/quota"
 	"pewterrudder/internal/router/retrybudget"
 	"pewterrudder/internal/router/settings"
@@ -175,7 +176,7 @@
 	waited := false
 	for s.awaitsShare(tenant) {
 		waited = true
-		if !sleep(ctx, shareWaitInterval) {
+		if !periodic.Sleep(ctx, shareWaitInterval) {
 			return false
 		}
 	}
