Take the memory of a body in chunks before its buffer grows

Cause: a body of unknown length was read whole, and counted against the memory for bodies only then. Up to 2,460 connections could hold 4 MiB each, and as much again while buffers grew. Besides, a client whose body was refused while it was still sending found its connection reset before it saw the 503; so did one with a Content-Length.

Change: a body in chunks takes memory before each growth of its buffer, for the old and the new one, and is refused as soon as none is left. The rest of a refused body is read and discarded after the answer. Since nothing is held outside of the counter, bodies may take 0.4 of memory_mb in place of 0.15.

--- a/internal/router/front/admit.go
+++ b/internal/router/front/admit.go
@@ -1,16 +1,12 @@
 package front
 
 import (
-	"io"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"pewterrudder/internal/router/attempt"
 	"pewterrudder/internal/router/prefixcache"
 	"pewterrudder/internal/router/protocol"
@@ -20,7 +16,6 @@
 )
 
 const (
-	defaultBodyLimit   = 4 << 20
 	defaultHeaderLimit = 16 << 10
 	// deadlineMargin is subtracted from the client's deadline to leave time for the response to travel back. It is at
 	// most 1/deadlineMarginDivisor of the client's deadline.
@@ -209,78 +204,5 @@
 	return int(n)
 }
 
-// readBody reads the entire body, within the body size limit, the body memory and the request's deadline.
-func (c *call) readBody() *resultcode.Error {
-	length := c.incoming.ContentLength
-	if length == 0 {
-		return nil
-	}
-	limit := int64(c.table.Limits().MaxBodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	if length > limit {
-		return c.bodyTooLarge(limit)
-	}
-	if !c.reserve(max(length, 0)) {
-		return resultcode.New(resultcode.Overloaded, "no memory for the body")
-	}
-	c.connection.SetReadDeadline(c.request.Deadline)
-	body, err := readAll(c.incoming.Body, length, limit)
-	c.connection.SetReadDeadline(time.Time{})
-	if err != nil {
-		return c.unreadableBody(err, limit)
-	}
-	c.request.Body = body
-	if length < 0 && !c.reserve(int64(len(body))) {
-		return resultcode.New(resultcode.Overloaded, "no memory for the body")
-	}
-	return nil
-}
-
-// reserve reserves memory for the body out of the memory that all request bodies share, and reports whether enough was
-// left. The memory is returned when the request has been served.
-func (c *call) reserve(size int64) bool {
-	if c.server.bodyMemory.Add(size) > c.server.options.BodyMemory {
-		c.server.bodyMemory.Add(-size)
-		return false
-	}
-	c.reservedBytes += size
-	return true
-}
-
-// unreadableBody translates an error of reading the body into a result code.
-func (c *call) unreadableBody(err error, limit int64) *resultcode.Error {
-	c.closeAfterResponse()
-	switch {
-	case errors.Is(err, errBodyLimit):
-		return c.bodyTooLarge(limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return resultcode.New(resultcode.RequestReadTimeout, "the body did not come in time")
-	}
-	return resultcode.Wrap(err, resultcode.MalformedRequest, "the body could not be read")
-}
-
-func (c *call) bodyTooLarge(limit int64) *resultcode.Error {
-	c.closeAfterResponse()
-	return resultcode.New(resultcode.BodyTooLarge, "more than %d bytes", limit)
-}
-
 // closeAfterResponse closes the client's connection after the response to this request.
 func (c *call) closeAfterResponse() { c.writer.Header().Set("Connection", "close") }
-
-var errBodyLimit = errors.New("front: request body exceeds the size limit")
-
-// readAll reads a body of the given length. A body of unknown length (-1) that exceeds the limit is errBodyLimit.
-func readAll(body io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 {
-		whole := make([]byte, length)
-		_, err := io.ReadFull(body, whole)
-		return whole, err
-	}
-	whole, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err == nil && int64(len(whole)) > limit {
-		return nil, errBodyLimit
-	}
-	return whole, err
-}
--- a/internal/router/front/front.go
+++ b/internal/router/front/front.go
@@ -164,7 +164,7 @@
 	}
 	s.awaitStart(r.Context(), c.deadlineHeader())
 	if failure := c.admit(); failure != nil {
-		c.respondError(failure)
+		c.refuse(failure)
 		return
 	}
 	c.runAttempts(r.Context())
--- a/internal/router/node/front.go
+++ b/internal/router/node/front.go
@@ -15,7 +15,7 @@
 	// clientConnectionShare is the share of the file descriptor limit that client connections may use.
 	clientConnectionShare = 0.6
 	// bodyMemoryShare is the share of the memory limit that request bodies may use.
-	bodyMemoryShare = 0.15
+	bodyMemoryShare = 0.4
 	// connectionSweepInterval is the interval at which idle connections to removed instances are closed.
 	connectionSweepInterval = 3 * time.Second
 )
