Test that a stalled upload is closed after its refusal

Need: the rest of a refused body is read until its end. A client that stops in the middle must not hold its connection for longer than its deadline and the idle timeout.

Change: a test with a length, in chunks, and in chunks beyond the limit.

--- a/internal/router/front/body_test.go
+++ b/internal/router/front/body_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"pewterrudder/internal/router/document"
@@ -91,6 +93,29 @@
 	}
 }
 
+// TestStalledUploadIsClosedAfterRefusal guards against connections that are held by clients whose body was refused and
+// which neither finish it nor go away: the connection ends at the deadline of the request.
+func TestStalledUploadIsClosedAfterRefusal(t *testing.T) {
+	const size = 1 << 20
+	f := newTestFront(t, func(_ *document.Configuration, _ *Dependencies, o *Options) { o.BodyMemory = size / 2 }, newFakeInstance(t, "i-1", respondOK))
+	for name, start := range map[string]string{
+		"length": requestText("POST", "/once/", fmt.Sprint("Content-Length: ", size-1), protocol.HeaderDeadlineMs+": 300") + "a",
+		"chunks": requestText("POST", "/once/", "Transfer-Encoding: chunked", protocol.HeaderDeadlineMs+": 300") + "ffffff\r\n" + strings.Repeat("a", size/2),
+		"chunks over the limit": requestText("POST", "/once/", "Transfer-Encoding: chunked", protocol.HeaderDeadlineMs+": 300") +
+			"ffffff\r\n" + strings.Repeat("a", 2*size),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := f.dial(t)
+			c.send(start)
+			response, _, err := c.readResponse()
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			_, err = c.reader.ReadByte()
+			assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+		})
+	}
+}
+
 // TestBodyOfUnknownLength checks bodies in chunks around the sizes at which the buffer grows, and around the limit.
 func TestBodyOfUnknownLength(t *testing.T) {
 	const limit = 1 << 20 // of the test configuration
